--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,132 @@
+// Package config is the one place where the configuration is read, checked and given defaults. Its messages name the
+// key at fault.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"lemonhinge.org/lemonhinge"
+	"lemonhinge.org/lemonhinge/internal/protocol/bulletin"
+	"lemonhinge.org/lemonhinge/internal/wire"
+)
+
+// Defaults and bounds.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastMemoryMB   = 32
+	leastSockets    = 64
+)
+
+// Config is all that a director is told.
+type Config struct {
+	Name     string
+	Listen   netip.AddrPort
+	Bulletin netip.AddrPort
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Known    bulletin.Feed
+	Settings lemonhinge.Settings
+	Pools    wire.SocketSettings
+}
+
+type file struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		MemoryMB *float64 `json:"memory_mb"`
+		Sockets  *float64 `json:"sockets"`
+	} `json:"limits"`
+	Bulletin string          `json:"bulletin"`
+	Known    bulletin.Feed   `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the file that LB_CONFIG names. LB_NAME and LB_LISTEN, where set, go before what the file says.
+func Load() (Config, error) {
+	path := os.Getenv("LB_CONFIG")
+	if path == "" {
+		return Config{}, fmt.Errorf("LB_CONFIG is not set: it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	return Parse(text, os.Getenv("LB_NAME"), os.Getenv("LB_LISTEN"))
+}
+
+// Parse reads a configuration. A name or an address given here goes before the text's.
+func Parse(text []byte, name, listen string) (Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	if name != "" {
+		f.Name = name
+	}
+	if listen != "" {
+		f.Listen = listen
+	}
+	c := Config{Name: f.Name, Known: f.Known}
+	var err error
+	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return Config{}, fmt.Errorf("listen (or LB_LISTEN): %w", err)
+	}
+	if c.Bulletin, err = netip.ParseAddrPort(f.Bulletin); err != nil {
+		return Config{}, fmt.Errorf("bulletin: %w", err)
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return Config{}, fmt.Errorf("seed: %q is not a hex number of 64 bits", f.Seed)
+	}
+	if c.MemoryMB, err = bounded("limits.memory_mb", f.Limits.MemoryMB, defaultMemoryMB, leastMemoryMB); err != nil {
+		return Config{}, err
+	}
+	if c.Sockets, err = bounded("limits.sockets", f.Limits.Sockets, defaultSockets, leastSockets); err != nil {
+		return Config{}, err
+	}
+	words, err := flatten(f.Settings)
+	if err != nil {
+		return Config{}, err
+	}
+	if c.Settings, c.Pools, err = wire.ParseSettings(words); err != nil {
+		return Config{}, err
+	}
+	if len(c.Settings.Classes) == 0 {
+		return Config{}, fmt.Errorf("settings.Grades: no classes")
+	}
+	return c, nil
+}
+
+func bounded(key string, v *float64, normal, least int) (int, error) {
+	if v == nil {
+		return normal, nil
+	}
+	if !(*v >= float64(least) && *v <= 1<<30) {
+		return 0, fmt.Errorf("%s: %v is not a number from %d up", key, *v, least)
+	}
+	return int(*v), nil
+}
+
+// flatten turns nested settings into the path=value words of the simulator's first message, so that one reader does
+// for both.
+func flatten(raw json.RawMessage) ([]string, error) {
+	if len(raw) == 0 {
+		return nil, fmt.Errorf("settings: missing")
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var tree map[string]any
+	if err := dec.Decode(&tree); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var words []string
+	walk(tree, "", &words)
+	return words, nil
+}
--- /dev/null
+++ b/internal/program/feed.go
@@ -0,0 +1,173 @@
+package program
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"lemonhinge.org/lemonhinge"
+	"lemonhinge.org/lemonhinge/internal/protocol/bulletin"
+	"lemonhinge.org/lemonhinge/internal/routing"
+	"lemonhinge.org/lemonhinge/internal/transport"
+)
+
+const (
+	// What the bulletin holds counts as told 7 s later at the latest, so a silent one must be noticed well before.
+	feedPatience = 2 * time.Second
+	feedSilence  = feedPatience + time.Second
+	feedDial     = time.Second
+	feedRetryMin = 20 * time.Millisecond
+	feedRetryMax = 500 * time.Millisecond
+)
+
+// feed follows the bulletin by long polls, one at a time.
+type feed struct {
+	loop     *transport.Loop
+	director *routing.Director
+	addr     netip.AddrPort
+	last     int64 // the number of the last event taken in
+	conn     *transport.Conn
+	timer    transport.Timer
+	retry    time.Duration
+	failing  bool
+	request  []byte
+}
+
+func newFeed(loop *transport.Loop, d *routing.Director, addr netip.AddrPort) *feed {
+	f := &feed{loop: loop, director: d, addr: addr, retry: feedRetryMin}
+	f.timer.Fire = f.connect
+	return f
+}
+
+func (f *feed) connect() {
+	if f.conn != nil {
+		f.lost(errors.New("no answer in time"))
+		return
+	}
+	conn, err := f.loop.Dial(f.addr, feedDial, f)
+	if err != nil {
+		f.lost(err)
+		return
+	}
+	f.conn = conn
+}
+
+func (f *feed) lost(err error) {
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	if !f.failing {
+		log.Printf("bulletin lost after event %d: %v; calling again", f.last, err)
+	}
+	f.failing = true
+	f.loop.Set(&f.timer, f.loop.Now()+f.retry)
+	f.retry = min(2*f.retry, feedRetryMax)
+}
+
+// Opened implements transport.Handler.
+func (f *feed) Opened() { f.poll() }
+
+// Flushed implements transport.Handler.
+func (f *feed) Flushed() {}
+
+// Closed implements transport.Handler.
+func (f *feed) Closed(err error) {
+	f.conn = nil
+	f.lost(err)
+}
+
+func (f *feed) poll() {
+	f.request = bulletin.AppendRequest(f.request[:0], f.addr.String(), f.last, feedPatience.Milliseconds())
+	f.conn.Write(f.request)
+	f.loop.Set(&f.timer, f.loop.Now()+feedSilence)
+}
+
+// Data implements transport.Handler.
+func (f *feed) Data(b []byte) (used, need int, err error) {
+	r, used, need, err := bulletin.ParseResponse(b)
+	if err != nil || used == 0 {
+		return 0, need, err
+	}
+	if r.Status != 200 {
+		return used, 0, fmt.Errorf("bulletin answered %d", r.Status)
+	}
+	news, err := bulletin.Decode(r.Body)
+	if err != nil {
+		return used, 0, err
+	}
+	f.retry = feedRetryMin
+	if f.failing {
+		f.failing = false
+		log.Printf("bulletin is back at event %d", f.last)
+	}
+	f.take(news)
+	if r.Close {
+		f.conn.Close()
+		f.conn = nil
+		f.connect()
+		return used, 0, nil
+	}
+	f.poll()
+	return used, 0, nil
+}
+
+// take carries news over to the director, each event once.
+func (f *feed) take(news bulletin.Feed) {
+	for _, item := range news.Items {
+		if item.Number <= f.last {
+			continue
+		}
+		f.last = item.Number
+		if item.Roster != nil {
+			f.roster(item.Roster)
+		}
+		if item.Recall != nil {
+			f.recall(item.Recall)
+		}
+	}
+	f.last = max(f.last, news.Last)
+}
+
+var states = map[string]lemonhinge.Readiness{
+	"in_service": lemonhinge.Ready, "terminating": lemonhinge.Draining, "terminated": lemonhinge.Gone,
+}
+
+func (f *feed) roster(r *bulletin.Roster) {
+	members := make([]routing.Member, 0, len(r.Hosts))
+	for _, h := range r.Hosts {
+		state, known := states[h.Health]
+		if !known {
+			log.Printf("bulletin: host %s in unknown state %q counts as draining", h.Name, h.Health)
+			state = lemonhinge.Draining
+		}
+		members = append(members, routing.Member{
+			Name: h.Name, Address: h.Dial,
+			Member: lemonhinge.Member{
+				Zone: h.Site, Kind: h.Class, Cell: h.Block, Readiness: state, Weight: h.Share,
+				StartedAt: fromUnixMS(h.BornMS),
+			},
+		})
+	}
+	f.director.UpdateHosts(r.Sequence, r.Whole, members)
+}
+
+func (f *feed) recall(r *bulletin.Recall) {
+	issued := fromUnixMS(r.IssuedMS)
+	if r.Item != "" {
+		object, err := strconv.ParseUint(r.Item, 16, 64)
+		if err != nil {
+			log.Printf("bulletin: purge of object %q can't be read", r.Item)
+			return
+		}
+		f.director.PurgeObject(lemonhinge.ObjectID(object), issued)
+	}
+	if r.Lot != nil {
+		f.director.PurgeGroup(*r.Lot, issued)
+	}
+}
+
+func fromUnixMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/program/report.go
@@ -0,0 +1,46 @@
+package program
+
+import (
+	"strconv"
+	"strings"
+
+	"lemonhinge.org/lemonhinge"
+)
+
+// reportNames are the load values that are called otherwise on the sockets than in the settings.
+var reportNames = map[string]string{
+	"inflight": "busy_reqs", "queue": "pending", "util": "cpu_share", "latency_ms": "svc_ms", "qps": "served_ps",
+	"eps": "failed_ps",
+}
+
+// reportMap gives the settings' names by the sockets', for the fields that the settings name.
+func reportMap(fields []string) map[string]string {
+	m := map[string]string{}
+	for _, f := range fields {
+		m[f] = f
+	}
+	for socket, setting := range reportNames {
+		if _, wanted := m[setting]; wanted {
+			delete(m, setting)
+			m[socket] = setting
+		}
+	}
+	return m
+}
+
+// load reads name:value pairs set apart by semicolons. A report is only a hint: what can't be read is left out.
+func (c *caches) load(s string) lemonhinge.LoadReport {
+	if len(c.report) == 0 {
+		return nil
+	}
+	report := lemonhinge.LoadReport{}
+	for pair := range strings.SplitSeq(s, ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		if setting, wanted := c.report[name]; wanted {
+			if x, err := strconv.ParseFloat(value, 64); err == nil {
+				report[setting] = x
+			}
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/internal/program/run.go
@@ -0,0 +1,137 @@
+package program
+
+import (
+	"fmt"
+	"log"
+	"net/netip"
+	"time"
+
+	"lemonhinge.org/lemonhinge/internal/config"
+	"lemonhinge.org/lemonhinge/internal/routing"
+	"lemonhinge.org/lemonhinge/internal/transport"
+)
+
+const (
+	// After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more; what comes
+	// later than 0.7 s is lost if it is not answered.
+	stillTaking = 650 * time.Millisecond
+	lastBytes   = 500 * time.Millisecond // for clients to read their last answers and close
+	leavePoll   = 5 * time.Millisecond
+
+	defaultStreams = 32
+	defaultIdle    = 15 * time.Second
+	defaultDial    = 400 * time.Millisecond
+	spareSockets   = 32 // for the listener, the loop, the bulletin, logs
+	mostLinks      = 16 // to one host
+	likelyHosts    = 24
+)
+
+// Program is one director process.
+type Program struct {
+	loop     *transport.Loop
+	director *routing.Director
+	front    *front
+	feed     *feed
+	name     string
+	leave    transport.Timer
+	emptyAt  time.Duration
+}
+
+// New builds a director: it listens when New returns and serves in Run.
+func New(c config.Config) (*Program, error) {
+	loop, err := transport.NewLoop()
+	if err != nil {
+		return nil, err
+	}
+	s := c.Settings
+	limits := routing.Limits{
+		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, DialTimeout: s.DialTimeout, MaxAttempts: s.MaxAttempts,
+		DrainGrace: s.DrainGrace, PurgeGrace: s.PurgeGrace, PurgeDone: s.PurgeDone, SecondCopies: s.SecondCopies,
+	}
+	for _, class := range s.Classes {
+		limits.LongestAnswer = max(limits.LongestAnswer, class.Deadline)
+	}
+	if limits.Streams <= 0 {
+		limits.Streams = defaultStreams
+	}
+	if limits.DialTimeout <= 0 {
+		limits.DialTimeout = defaultDial
+	}
+	idle := c.Pools.ConnIdle
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	// The other end closes after the same time: an order sent into that close would be lost, so links go before.
+	limits.IdleAfter = idle * 4 / 5
+	clients := c.Sockets/3 + c.Sockets/20
+	limits.LinksPerHost = min(mostLinks, max(1, (c.Sockets-clients-spareSockets)/likelyHosts))
+
+	links := &caches{loop: loop, report: reportMap(c.Pools.Reports)}
+	d := routing.New(loop, s, c.Seed, limits, links)
+	p := &Program{loop: loop, director: d, name: c.Name}
+	d.Start()
+	p.feed = newFeed(loop, d, c.Bulletin)
+	p.feed.take(c.Known)
+	if p.front, err = newFront(loop, d, c.Listen, clients, idle); err != nil {
+		return nil, err
+	}
+	p.feed.connect()
+	p.leave.Fire = p.leaveIfDone
+	return p, nil
+}
+
+// Addr is where clients connect.
+func (p *Program) Addr() (netip.AddrPort, error) { return p.front.listener.Addr() }
+
+// Run serves until the program has left.
+func (p *Program) Run() error {
+	log.Printf("%s serves", p.name)
+	err := p.loop.Run()
+	p.PrintCounts()
+	return err
+}
+
+// Post runs f on the loop; it may be called from any goroutine.
+func (p *Program) Post(f func()) { p.loop.Post(f) }
+
+// Leave begins the way out: it goes on taking what still comes, answers all, then ends Run.
+func (p *Program) Leave() {
+	if p.front.leaving {
+		return
+	}
+	log.Printf("leaving: %d requests open", p.director.Open())
+	p.front.leaving = true
+	p.loop.Set(&p.leave, p.loop.Now()+stillTaking)
+}
+
+func (p *Program) leaveIfDone() {
+	now := p.loop.Now()
+	if !p.front.closing {
+		p.front.finish()
+	}
+	if p.director.Open() > 0 {
+		p.emptyAt = 0
+	} else if p.emptyAt == 0 {
+		p.emptyAt = now
+	}
+	if p.emptyAt > 0 && (len(p.front.clients) == 0 || now-p.emptyAt >= lastBytes && p.front.flushed()) {
+		log.Print("left: all requests answered")
+		p.loop.Stop()
+		return
+	}
+	p.loop.Set(&p.leave, now+leavePoll)
+}
+
+func (f *front) flushed() bool {
+	for c := range f.clients {
+		if c.conn.Queued() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// PrintCounts logs what was taken in, sent and answered.
+func (p *Program) PrintCounts() {
+	log.Printf("counts: %s", fmt.Sprintf("front%+v director%+v", p.front.Counts, p.director.Counts))
+}
--- /dev/null
+++ b/internal/protocol/bulletin/bulletin.go
@@ -0,0 +1,160 @@
+// Package bulletin reads the bulletin: numbered changes to the list of hosts, and purges, as JSON, and the HTTP/1.1
+// answers that carry them. It does no I/O.
+package bulletin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Limits of what a bulletin may answer.
+const (
+	maxHead = 16 << 10
+	maxBody = 4 << 20
+)
+
+// Feed is what the bulletin tells; the start's events have the same form.
+type Feed struct {
+	Last  int64  `json:"no"`
+	Items []Item `json:"items"`
+}
+
+// Item is one event: a change to the list, or a purge.
+type Item struct {
+	Number int64   `json:"no"`
+	Roster *Roster `json:"roster"`
+	Recall *Recall `json:"recall"`
+}
+
+// Roster is a list of hosts, or what has changed of it.
+type Roster struct {
+	Sequence int64  `json:"seq"`
+	Whole    bool   `json:"whole"`
+	Hosts    []Host `json:"hosts"`
+}
+
+// Host is one line of a roster.
+type Host struct {
+	Name   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS float64 `json:"born_ms"`
+}
+
+// Recall is a purge of an object or of a group.
+type Recall struct {
+	Item     string  `json:"item"`
+	Lot      *int    `json:"lot"`
+	IssuedMS float64 `json:"issued"`
+}
+
+// Decode reads a feed.
+func Decode(b []byte) (Feed, error) {
+	var f Feed
+	if err := json.Unmarshal(b, &f); err != nil {
+		return Feed{}, fmt.Errorf("bulletin: %w", err)
+	}
+	return f, nil
+}
+
+// AppendRequest appends the call for all events after a number.
+func AppendRequest(b []byte, host string, after int64, patienceMS int64) []byte {
+	return fmt.Appendf(b, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n",
+		after, patienceMS, host)
+}
+
+// Response is one HTTP answer.
+type Response struct {
+	Status int
+	Body   []byte
+	Close  bool // the server ends the connection after it
+}
+
+var errHead = errors.New("bulletin: head of the answer is malformed")
+
+// ParseResponse reads one answer from the start of b. used is 0 while it is not whole; then need tells how many bytes
+// must be there before it can be.
+func ParseResponse(b []byte) (r Response, used, need int, err error) {
+	headEnd := bytes.Index(b, []byte("\r\n\r\n"))
+	if headEnd < 0 {
+		if len(b) > maxHead {
+			return r, 0, 0, errHead
+		}
+		return r, 0, len(b) + 1, nil
+	}
+	lines := strings.Split(string(b[:headEnd]), "\r\n")
+	proto, rest, _ := strings.Cut(lines[0], " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if r.Status, err = strconv.Atoi(code); err != nil || !strings.HasPrefix(proto, "HTTP/1.") {
+		return r, 0, 0, errHead
+	}
+	r.Close = proto == "HTTP/1.0"
+	length, chunked := -1, false
+	for _, line := range lines[1:] {
+		name, value, found := strings.Cut(line, ":")
+		value = strings.TrimSpace(value)
+		switch {
+		case !found:
+			return r, 0, 0, errHead
+		case strings.EqualFold(name, "Content-Length"):
+			if length, err = strconv.Atoi(value); err != nil || length < 0 || length > maxBody {
+				return r, 0, 0, fmt.Errorf("bulletin: length %q out of range", value)
+			}
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			chunked = strings.EqualFold(value, "chunked")
+		case strings.EqualFold(name, "Connection"):
+			r.Close = strings.EqualFold(value, "close")
+		}
+	}
+	at := headEnd + 4
+	switch {
+	case chunked:
+		r.Body, used, need, err = chunks(b, at)
+		return r, used, need, err
+	case length < 0:
+		return r, 0, 0, errors.New("bulletin: answer tells no length")
+	case len(b) < at+length:
+		return r, 0, at + length, nil
+	}
+	r.Body = b[at : at+length]
+	return r, at + length, 0, nil
+}
+
+// chunks joins the chunks of a body that starts at from.
+func chunks(b []byte, from int) (body []byte, used, need int, err error) {
+	for at := from; ; {
+		end := bytes.Index(b[at:], []byte("\r\n"))
+		if end < 0 {
+			if len(b)-at > maxHead {
+				return nil, 0, 0, errors.New("bulletin: chunk without a size")
+			}
+			return nil, 0, len(b) + 1, nil
+		}
+		digits, _, _ := strings.Cut(string(b[at:at+end]), ";")
+		size, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 32)
+		if err != nil || len(body)+int(size) > maxBody {
+			return nil, 0, 0, fmt.Errorf("bulletin: chunk size %q out of range", digits)
+		}
+		at += end + 2
+		if len(b) < at+int(size)+2 {
+			return nil, 0, at + int(size) + 2, nil
+		}
+		body = append(body, b[at:at+int(size)]...)
+		at += int(size)
+		if string(b[at:at+2]) != "\r\n" {
+			return nil, 0, 0, errors.New("bulletin: chunk is not as long as it says")
+		}
+		at += 2
+		if size == 0 {
+			return body, at, 0, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/director.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"log"
+	"time"
+
+	"lemonhinge.org/lemonhinge"
+	"lemonhinge.org/lemonhinge/internal/transport"
+)
+
+// Director drives one instance of the decision module.
+type Director struct {
+	Counts Counts
+
+	loop    *transport.Loop
+	module  *lemonhinge.Router
+	dialer  Dialer
+	limits  Limits
+	fresh   map[string]time.Duration // by class: the oldest that a copy may be; absent: any age
+	keeps   map[string]bool          // classes whose answers are copies
+	hosts   map[lemonhinge.HostID]*host
+	byName  map[string]*host
+	known   map[lemonhinge.RequestID]*request
+	open    int
+	purges  purges
+	events  []lemonhinge.Event
+	feeding bool
+	spare   []*alarm
+	upkeep  transport.Timer
+}
+
+// upkeepEvery paces the closing of idle links and the forgetting of purges.
+const upkeepEvery = 500 * time.Millisecond
+
+// New makes a director. Start begins its life.
+func New(loop *transport.Loop, s lemonhinge.Settings, seed uint64, limits Limits, dialer Dialer) *Director {
+	d := &Director{
+		loop: loop, module: lemonhinge.NewRouter(s, seed), dialer: dialer, limits: limits,
+		fresh: map[string]time.Duration{}, keeps: map[string]bool{},
+		hosts: map[lemonhinge.HostID]*host{}, byName: map[string]*host{},
+		known:  map[lemonhinge.RequestID]*request{},
+		purges: newPurges(),
+	}
+	for _, c := range s.Classes {
+		d.keeps[c.Name] = !c.Uncacheable
+		if c.Fresh > 0 {
+			d.fresh[c.Name] = c.Fresh + c.StaleExtra
+		}
+	}
+	d.upkeep.Fire = d.tidy
+	return d
+}
+
+// Start begins the module's life.
+func (d *Director) Start() {
+	for _, a := range d.module.Start(d.loop.Now()) {
+		d.act(a)
+	}
+	d.loop.Set(&d.upkeep, d.loop.Now()+upkeepEvery)
+}
+
+// Open is how many requests are owed an answer.
+func (d *Director) Open() int { return d.open }
+
+// Ready tells whether there is a cache that could be asked.
+func (d *Director) Ready() bool {
+	for _, h := range d.hosts {
+		if h.Readiness == lemonhinge.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// feed hands an event to the module and carries out what it calls for. What those actions bring about at once
+// waits its turn, so that the module never sees an event while its last actions are being carried out.
+func (d *Director) feed(ev lemonhinge.Event) {
+	d.events = append(d.events, ev)
+	if d.feeding {
+		return
+	}
+	d.feeding = true
+	for i := 0; i < len(d.events); i++ {
+		for _, a := range d.module.Handle(d.loop.Now(), d.events[i]) {
+			d.act(a)
+		}
+	}
+	clear(d.events)
+	d.events = d.events[:0]
+	d.feeding = false
+}
+
+// act carries out one action.
+func (d *Director) act(action lemonhinge.Action) {
+	switch a := action.(type) {
+	case lemonhinge.Obtain:
+		d.obtain(a)
+	case lemonhinge.Abort:
+		d.abort(a)
+	case lemonhinge.Deny:
+		if q := d.unanswered(a.Request); q != nil {
+			d.Counts.Refused++
+			d.conclude(q)
+			q.Caller.Refuse(q.Request, a.HoldOff)
+		}
+	case lemonhinge.Drop:
+		if q := d.unanswered(a.Request); q != nil {
+			d.Counts.Failed++
+			d.conclude(q)
+			q.Caller.Fail(q.Request)
+		}
+	case lemonhinge.After:
+		d.after(a.Delay, a.Token)
+	case lemonhinge.NoteDown:
+		log.Printf("module: %s", a.Line)
+	case lemonhinge.Subscribe, lemonhinge.Pull:
+		// The bulletin is followed from the start to the end.
+	case lemonhinge.Probe:
+		log.Printf("module asked to probe host %d, which the sockets do not allow", a.Host)
+	}
+}
+
+// alarm is a timer of the module's; alarms are used again.
+type alarm struct {
+	transport.Timer
+	token string
+}
+
+func (d *Director) after(delay time.Duration, token string) {
+	var a *alarm
+	if n := len(d.spare); n > 0 {
+		a, d.spare = d.spare[n-1], d.spare[:n-1]
+	} else {
+		a = &alarm{}
+		a.Fire = func() {
+			token := a.token
+			d.spare = append(d.spare, a)
+			d.feed(lemonhinge.Alarm{Token: token})
+		}
+	}
+	a.token = token
+	d.loop.Set(&a.Timer, d.loop.Now()+delay)
+}
+
+// tidy closes what has been idle and forgets old purges.
+func (d *Director) tidy() {
+	now := d.loop.Now()
+	d.loop.Set(&d.upkeep, now+upkeepEvery)
+	for id, h := range d.hosts {
+		h.closeIdle(now)
+		if h.Readiness == lemonhinge.Gone && len(h.links) == 0 && len(h.waiting) == 0 && now > h.told+d.limits.LongestAnswer {
+			delete(d.hosts, id)
+			delete(d.byName, h.Name)
+		}
+	}
+	// A fill may end late: a purge is held against answers for as long as one may be out, and more.
+	d.purges.forget(now - 2*d.limits.PurgeDone - d.limits.LongestAnswer)
+}
--- /dev/null
+++ b/internal/routing/hosts.go
@@ -0,0 +1,292 @@
+package routing
+
+import (
+	"hash/fnv"
+	"log"
+	"slices"
+	"strconv"
+	"time"
+
+	"lemonhinge.org/lemonhinge"
+)
+
+// host is one line of the list, with its links and the attempts that wait for one.
+type host struct {
+	Member
+	director *Director
+	told     time.Duration // when its present state was told
+	links    []*link
+	waiting  []*attempt
+}
+
+// UpdateHosts takes in a list, or what has changed of one.
+func (d *Director) UpdateHosts(version int64, whole bool, members []Member) {
+	now := d.loop.Now()
+	d.Counts.Lists++
+	t := lemonhinge.Topology{Kind: lemonhinge.ListChanges, Version: version}
+	if whole {
+		t.Kind = lemonhinge.ListAll
+		listed := map[string]bool{}
+		for _, m := range members {
+			listed[m.Name] = true
+		}
+		for name, h := range d.byName {
+			if !listed[name] {
+				h.moveTo(lemonhinge.Gone, now)
+			}
+		}
+	}
+	for _, m := range members {
+		h := d.byName[m.Name]
+		if h == nil {
+			m.Host = d.number(m.Name)
+			h = &host{Member: m, director: d, told: now}
+			d.byName[m.Name], d.hosts[m.Host] = h, h
+		}
+		m.Host = h.Host
+		if h.Address != m.Address || h.StartedAt != m.StartedAt {
+			h.retire(m.StartedAt, h.Address != m.Address)
+		}
+		h.moveTo(m.Readiness, now)
+		h.Member = m
+		t.Members = append(t.Members, m.Member)
+	}
+	d.feed(t)
+}
+
+// number gives a host its number for the module. All directors must hash objects to the same caches, so it comes
+// from the name alone.
+func (d *Director) number(name string) lemonhinge.HostID {
+	for salt := 0; ; salt++ {
+		sum := fnv.New32a()
+		sum.Write([]byte(name))
+		if salt > 0 {
+			sum.Write([]byte(strconv.Itoa(salt)))
+		}
+		id := lemonhinge.HostID(sum.Sum32())
+		if other := d.hosts[id]; other == nil {
+			return id
+		} else {
+			log.Printf("hosts %s and %s share the number %d: salted", name, other.Name, id)
+		}
+	}
+}
+
+func (h *host) moveTo(r lemonhinge.Readiness, now time.Duration) {
+	if h.Readiness != r {
+		h.Readiness, h.told = r, now
+	}
+}
+
+// unfit tells whether nothing new may go to the host. The last part of the grace is left for the way to it.
+func (h *host) unfit(now, grace time.Duration) bool {
+	return h.Readiness != lemonhinge.Ready && now >= h.told+grace/2
+}
+
+// retire keeps new attempts off the links to a process that is no more: all of them after a change of address, else
+// those that are older than the new process. The list comes late, so that younger links lead to the new one already.
+func (h *host) retire(started time.Duration, moved bool) {
+	for _, l := range slices.Clone(h.links) {
+		if moved || l.dialedAt < started {
+			l.retired = true
+			l.closeIfIdle()
+		}
+	}
+}
+
+// link is one connection of the pool.
+type link struct {
+	host      *host
+	conn      Link
+	up        bool
+	retired   bool
+	dialedAt  time.Duration
+	idleSince time.Duration
+	open      map[string]*attempt // by request id
+	partial   *attempt            // of which the system has not taken all yet
+}
+
+// pick is the link with the fewest attempts among those that can take one of this request.
+func (h *host) pick(q *request) (best *link) {
+	for _, l := range h.links {
+		if l.up && !l.retired && len(l.open) < h.director.limits.Streams && l.conn.Drained() &&
+			!slices.Contains(q.spoiled, l) && (best == nil || len(l.open) < len(best.open)) {
+			best = l
+		}
+	}
+	return best
+}
+
+// dialMore opens links until those that are coming up can take all that wait.
+func (h *host) dialMore() {
+	d := h.director
+	coming, usable := 0, 0
+	for _, l := range h.links {
+		if !l.up {
+			coming++
+		}
+		if !l.retired {
+			usable++
+		}
+	}
+	for coming*d.limits.Streams < len(h.waiting) && usable < d.limits.LinksPerHost {
+		now := d.loop.Now()
+		l := &link{host: h, dialedAt: now, idleSince: now, open: map[string]*attempt{}}
+		conn, err := d.dialer.Dial(h.Address, d.limits.DialTimeout, l)
+		if err != nil {
+			log.Printf("link to %s at %s: %v", h.Name, h.Address, err)
+			h.refuseWaiting()
+			return
+		}
+		d.Counts.Dials++
+		l.conn = conn
+		h.links = append(h.links, l)
+		coming, usable = coming+1, usable+1
+	}
+}
+
+// refuseWaiting ends the attempts that wait when no link is left that could take them: none has run.
+func (h *host) refuseWaiting() {
+	if slices.ContainsFunc(h.links, func(l *link) bool { return !l.retired }) {
+		return
+	}
+	for _, a := range slices.Clone(h.waiting) {
+		h.director.Counts.NoCon++
+		h.director.end(a, &Reply{Status: lemonhinge.ConnectFailed})
+	}
+}
+
+// sendWaiting sends what waits, in order, as far as links have room.
+func (h *host) sendWaiting() {
+	for _, a := range slices.Clone(h.waiting) {
+		if a.ended {
+			continue
+		}
+		if l := h.pick(a.req); l != nil {
+			h.waiting = slices.DeleteFunc(h.waiting, func(w *attempt) bool { return w == a })
+			h.director.send(a, l)
+		}
+	}
+	if len(h.waiting) > 0 {
+		h.dialMore()
+	}
+}
+
+// closeIdle closes links before the other end does, for what is sent into a closing one is lost.
+func (h *host) closeIdle(now time.Duration) {
+	for _, l := range slices.Clone(h.links) {
+		if l.up && len(l.open) == 0 &&
+			(l.retired || h.Readiness == lemonhinge.Gone || now-l.idleSince >= h.director.limits.IdleAfter) {
+			l.drop()
+		}
+	}
+}
+
+func (l *link) closeIfIdle() {
+	if len(l.open) == 0 {
+		l.drop()
+	}
+}
+
+func (l *link) drop() {
+	l.conn.Close()
+	l.remove()
+}
+
+func (l *link) remove() {
+	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
+}
+
+// Up implements LinkEvents.
+func (l *link) Up() {
+	l.up = true
+	l.host.sendWaiting()
+}
+
+// Flushed implements LinkEvents.
+func (l *link) Flushed() {
+	if a := l.partial; a != nil {
+		a.whole, l.partial = true, nil
+		if t := a.what.Timeout; t > 0 { // an attempt's time starts when it has come whole to the cache
+			d := l.host.director
+			d.loop.Set(&a.timer, min(d.loop.Now()+t, a.req.deadline))
+		}
+	}
+	l.host.sendWaiting()
+}
+
+// Reply implements LinkEvents.
+func (l *link) Reply(id []byte, r *Reply) {
+	d := l.host.director
+	a := l.open[string(id)]
+	if a == nil {
+		d.Counts.LateReplies++
+		return
+	}
+	delete(l.open, a.req.ID)
+	l.idleSince = d.loop.Now()
+	d.count(r.Status)
+	d.end(a, r)
+	if len(l.host.waiting) > 0 {
+		l.host.sendWaiting()
+	}
+	if l.retired {
+		l.closeIfIdle()
+	}
+}
+
+// Down implements LinkEvents.
+func (l *link) Down(err error) {
+	d := l.host.director
+	if !l.up {
+		log.Printf("link to %s at %s did not come up: %v", l.host.Name, l.host.Address, err)
+	} else if len(l.open) > 0 {
+		d.Counts.LinksLost++
+		log.Printf("link to %s lost with %d attempts out: %v", l.host.Name, len(l.open), err)
+	}
+	l.lost()
+}
+
+// lost ends everything on a link that is no more: what had come whole may have run, what had not never ran.
+func (l *link) lost() {
+	d := l.host.director
+	l.remove()
+	open := make([]*attempt, 0, len(l.open))
+	for _, a := range l.open {
+		open = append(open, a)
+	}
+	clear(l.open)
+	slices.SortFunc(open, func(a, b *attempt) int { return int(a.sentAt - b.sentAt) })
+	for _, a := range open {
+		status := lemonhinge.Reset
+		if !a.whole {
+			status = lemonhinge.ConnectFailed
+		}
+		d.count(status)
+		d.end(a, &Reply{Status: status})
+	}
+	l.host.refuseWaiting()
+	if len(l.host.waiting) > 0 {
+		l.host.sendWaiting()
+	}
+}
+
+func (d *Director) count(s lemonhinge.Status) {
+	c := &d.Counts
+	switch s {
+	case lemonhinge.OK:
+		c.OK++
+	case lemonhinge.Miss:
+		c.Miss++
+	case lemonhinge.Full:
+		c.Full++
+	case lemonhinge.Failed:
+		c.Errors++
+	case lemonhinge.Moot:
+		c.Void++
+	case lemonhinge.Reset:
+		c.Reset++
+	case lemonhinge.ConnectFailed:
+		c.NoCon++
+	}
+}
--- /dev/null
+++ b/internal/routing/purges.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"lemonhinge.org/lemonhinge"
+)
+
+// purge is one purge: copies given out before issued are void, and told is when this director heard of it.
+type purge struct{ issued, told time.Duration }
+
+// purges holds those that may still matter, by object and by group.
+type purges struct {
+	objects map[lemonhinge.ObjectID][]purge
+	groups  map[int][]purge
+}
+
+func newPurges() purges {
+	return purges{objects: map[lemonhinge.ObjectID][]purge{}, groups: map[int][]purge{}}
+}
+
+// PurgeObject takes in a purge of one object.
+func (d *Director) PurgeObject(object lemonhinge.ObjectID, issued time.Duration) {
+	now := d.loop.Now()
+	d.Counts.Purges++
+	d.purges.objects[object] = append(d.purges.objects[object], purge{issued, now})
+	d.feed(lemonhinge.Invalidated{Object: object, Age: max(0, now-issued)})
+}
+
+// PurgeGroup takes in a purge of a group of objects.
+func (d *Director) PurgeGroup(group int, issued time.Duration) {
+	now := d.loop.Now()
+	d.Counts.Purges++
+	d.purges.groups[group] = append(d.purges.groups[group], purge{issued, now})
+	d.feed(lemonhinge.Invalidated{Group: group, Whole: true, Age: max(0, now-issued)})
+}
+
+func (p *purges) any(q *request, f func(purge) bool) bool {
+	return slices.ContainsFunc(p.objects[q.Object], f) || slices.ContainsFunc(p.groups[q.Group], f)
+}
+
+// bind tells whether a purge that was told before a time voids a copy given out at since. Every purge is held, not
+// just the last: one too new to bind must not hide one that does.
+func (p *purges) bind(q *request, since, toldBefore time.Duration) bool {
+	return p.any(q, func(x purge) bool { return x.told < toldBefore && since < x.issued })
+}
+
+// toldSince tells whether a purge of the request's object has been told after a time.
+func (p *purges) toldSince(q *request, after time.Duration) bool {
+	return p.any(q, func(x purge) bool { return x.told > after })
+}
+
+// forget drops the purges told before a time.
+func (p *purges) forget(before time.Duration) {
+	forgetIn(p.objects, before)
+	forgetIn(p.groups, before)
+}
+
+func forgetIn[K comparable](m map[K][]purge, before time.Duration) {
+	for k, list := range m {
+		list = slices.DeleteFunc(list, func(x purge) bool { return x.told < before })
+		if len(list) == 0 {
+			delete(m, k)
+		} else {
+			m[k] = list
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/requests.go
@@ -0,0 +1,286 @@
+package routing
+
+import (
+	"log"
+	"slices"
+	"time"
+
+	"lemonhinge.org/lemonhinge"
+	"lemonhinge.org/lemonhinge/internal/transport"
+)
+
+// request is one that was taken in. It is known until it is answered and no attempt of it is out.
+type request struct {
+	*Request
+	key      lemonhinge.RequestID
+	deadline time.Duration
+	answered bool
+	out      int
+	attempts []*attempt
+	spoiled  []*link // on which an undone attempt may still be answered
+}
+
+// attempt is one order, waiting for a link or out on one.
+type attempt struct {
+	req       *request
+	number    int
+	what      lemonhinge.Obtain
+	host      *host
+	source    *host // nil: no fill
+	decidedAt time.Duration
+	sentAt    time.Duration
+	link      *link // nil while it waits
+	whole     bool  // the system has taken all of it: from here on it may have run
+	ended     bool
+	timer     transport.Timer
+}
+
+// Submit takes a request in. Its caller gets one final answer.
+func (d *Director) Submit(r *Request) {
+	d.Counts.Taken++
+	key := lemonhinge.RequestID(r.ID)
+	// The module would take a second request of the same id for the first; the caller is owed an answer all the same.
+	if d.known[key] != nil {
+		log.Printf("request %s is open already: failed", r.ID)
+		d.Counts.Failed++
+		r.Caller.Fail(r)
+		return
+	}
+	if d.limits.MaxOpen > 0 && d.open >= d.limits.MaxOpen {
+		d.Counts.Refused++
+		r.Caller.Refuse(r, 0)
+		return
+	}
+	d.known[key] = &request{Request: r, key: key, deadline: d.loop.Now() + r.Budget}
+	d.open++
+	d.feed(lemonhinge.Query{Request: key, Object: r.Object, Part: r.Part, Group: r.Group, Class: r.Class,
+		SizeKB: r.SizeKB, TimeLeft: r.Budget})
+}
+
+// Revoke ends a request whose client has gone; no answer follows.
+func (d *Director) Revoke(r *Request) {
+	q := d.unanswered(lemonhinge.RequestID(r.ID))
+	if q == nil || q.Request != r {
+		return
+	}
+	d.Counts.Revoked++
+	d.conclude(q)
+	d.feed(lemonhinge.Left{Request: q.key})
+}
+
+// unanswered is the request of that id if it is still owed its final answer.
+func (d *Director) unanswered(id lemonhinge.RequestID) *request {
+	if q := d.known[id]; q != nil && !q.answered {
+		return q
+	}
+	return nil
+}
+
+// conclude marks a request as answered, so that no second answer can follow.
+func (d *Director) conclude(q *request) {
+	q.answered = true
+	d.open--
+	d.forget(q)
+}
+
+func (d *Director) forget(q *request) {
+	if q.answered && q.out == 0 {
+		delete(d.known, q.key)
+	}
+}
+
+// obtain makes an attempt.
+func (d *Director) obtain(o lemonhinge.Obtain) {
+	q, h := d.known[o.Request], d.hosts[o.Host]
+	if q == nil {
+		return
+	}
+	a := &attempt{req: q, number: len(q.attempts), what: o, host: h, decidedAt: d.loop.Now()}
+	q.attempts = append(q.attempts, a)
+	q.out++
+	a.timer.Fire = func() { d.expire(a) }
+	source, known := d.hosts[o.Source], true
+	if o.Source != o.Host {
+		a.source, known = source, source != nil
+	}
+	over := d.limits.MaxAttempts > 0 && a.number >= d.limits.MaxAttempts
+	if q.answered || h == nil || !known || over || q.out > 1 && !d.limits.SecondCopies {
+		d.Counts.GuardStops++
+		log.Printf("attempt %d of %s not made: answered=%t host=%t source=%t out=%d", a.number, q.ID, q.answered,
+			h != nil, known, q.out)
+		d.end(a, &Reply{Status: lemonhinge.Moot})
+		return
+	}
+	// Until it is written it may wait for a link, but no longer than a connection may take to come up.
+	d.loop.Set(&a.timer, min(a.decidedAt+d.limits.DialTimeout, q.deadline))
+	if l := h.pick(q); l != nil {
+		d.send(a, l)
+		return
+	}
+	h.waiting = append(h.waiting, a)
+	h.dialMore()
+}
+
+// send writes an attempt, unless what was decided does not hold any more.
+func (d *Director) send(a *attempt, l *link) {
+	now := d.loop.Now()
+	if why := d.stale(a, now); why != "" {
+		d.Counts.GuardStops++
+		log.Printf("attempt %d of %s to %s not sent: %s", a.number, a.req.ID, a.host.Name, why)
+		d.end(a, &Reply{Status: lemonhinge.Moot})
+		return
+	}
+	q := a.req
+	until := q.deadline
+	if a.what.Timeout > 0 {
+		until = min(until, now+a.what.Timeout)
+	}
+	o := Order{
+		ID: q.ID, Class: q.Class, Object: q.Object, Part: q.Part, Patience: until - now, Token: q.Token,
+		Rank: a.what.Rank, MaxAge: a.what.MaxAge, Options: a.what.Options, Body: q.Body,
+	}
+	if a.source != nil {
+		o.Source = a.source.Name
+	}
+	if d.keeps[q.Class] {
+		o.Have = q.Have
+	}
+	d.Counts.Attempts++
+	a.sentAt, a.link = now, l
+	l.open[q.ID] = a
+	l.idleSince = now
+	l.conn.Send(&o)
+	if a.whole = l.conn.Drained(); !a.whole {
+		l.partial = a
+	}
+	d.loop.Set(&a.timer, until)
+}
+
+// stale tells why an attempt that had to wait must not be sent any more. It guards the rules on drains and purges
+// and on time-outs, which count from the sending, while the module decided when it asked.
+func (d *Director) stale(a *attempt, now time.Duration) string {
+	switch {
+	case now+time.Millisecond > a.req.deadline:
+		return "its time is over"
+	case a.host.unfit(now, d.limits.DrainGrace):
+		return "the host drains or is gone"
+	case a.source != nil && a.source.unfit(now, d.limits.DrainGrace):
+		return "the source drains or is gone"
+	case now > a.decidedAt && d.purges.toldSince(a.req, a.decidedAt):
+		return "its age cap is from before a purge"
+	}
+	return ""
+}
+
+// expire ends an attempt whose time is over.
+func (d *Director) expire(a *attempt) {
+	switch {
+	case a.ended:
+	case a.link != nil:
+		d.undo(a)
+		d.Counts.TimedOut++
+		status := lemonhinge.TimedOut
+		if !a.whole {
+			status = lemonhinge.ConnectFailed // it never came whole to the cache
+		}
+		d.end(a, &Reply{Status: status})
+	case d.loop.Now() >= a.req.deadline:
+		d.end(a, &Reply{Status: lemonhinge.Moot})
+	default:
+		d.Counts.NoCon++
+		d.end(a, &Reply{Status: lemonhinge.ConnectFailed})
+	}
+}
+
+// abort calls an attempt off for the module.
+func (d *Director) abort(o lemonhinge.Abort) {
+	q := d.known[o.Request]
+	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || q.attempts[o.Attempt].ended {
+		return
+	}
+	a := q.attempts[o.Attempt]
+	if a.link != nil {
+		d.undo(a)
+	}
+	d.end(a, &Reply{Status: lemonhinge.Cancelled})
+}
+
+// undo tells the cache that an attempt is given up. It must be written before the request's next attempt is sent; a
+// link that does not take it now is closed, which gives up everything on it.
+func (d *Director) undo(a *attempt) {
+	l := a.link
+	d.Counts.Undone++
+	delete(l.open, a.req.ID)
+	if l.partial == a {
+		l.partial = nil
+	}
+	// Attempts share the request's id: an answer that has crossed the undo must not pass for its successor's, so
+	// the successor never takes this link.
+	a.req.spoiled = append(a.req.spoiled, l)
+	l.conn.Undo(a.req.ID)
+	if !l.conn.Drained() {
+		log.Printf("link to %s takes no bytes: closed with %d attempts", l.host.Name, len(l.open))
+		l.conn.Close()
+		l.lost()
+	}
+}
+
+// end tells the module how an attempt ended and, where it was served, answers the client first.
+func (d *Director) end(a *attempt, r *Reply) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.timer.Stop()
+	q := a.req
+	q.out--
+	if a.link == nil && a.host != nil {
+		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(w *attempt) bool { return w == a })
+	}
+	status := r.Status
+	if status == lemonhinge.OK && !q.answered {
+		if why := d.unfitCopy(a, r); why != "" {
+			d.Counts.Withheld++
+			log.Printf("answer of %s to %s not passed on: %s", a.host.Name, q.ID, why)
+			status = lemonhinge.Miss
+		} else {
+			d.serve(q, r)
+		}
+	}
+	d.forget(q)
+	d.feed(lemonhinge.Answer{Request: q.key, Terminal: q.answered, Host: a.what.Host, Attempt: a.number, Note: r.Note,
+		Status: status, Elapsed: d.loop.Now() - a.decidedAt, Report: r.Report})
+}
+
+func (d *Director) serve(q *request, r *Reply) {
+	d.conclude(q)
+	if r.Same {
+		d.Counts.Same++
+		q.Caller.ServeSame(q.Request)
+		return
+	}
+	d.Counts.Served++
+	q.Caller.Serve(q.Request, r.Body)
+}
+
+// ageSlack is what sockets add to a time limit.
+const ageSlack = 50 * time.Millisecond
+
+// unfitCopy tells why a copy must not be passed on: the caches follow the age cap as well as they can, but what a
+// client gets is the director's to answer for.
+func (d *Director) unfitCopy(a *attempt, r *Reply) string {
+	q := a.req
+	if r.Same && q.Have == "" {
+		return "it speaks of a copy that the client does not hold"
+	}
+	if r.Since == 0 || !d.keeps[q.Class] {
+		return ""
+	}
+	if d.purges.bind(q, r.Since, a.sentAt-d.limits.PurgeGrace) {
+		return "the copy is from before a purge"
+	}
+	if most := d.fresh[q.Class]; most > 0 && a.sentAt-r.Since > most+ageSlack {
+		return "the copy is too old"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/routing/types.go
@@ -0,0 +1,112 @@
+// Package routing stands between the decision module and the sockets. It turns requests into events and actions into
+// messages, and owns open requests, attempts, connection pools, the list of hosts and the guards of the rules. It
+// knows neither the clients' nor the caches' protocol: both sides meet it through the types of this file.
+package routing
+
+import (
+	"time"
+
+	"lemonhinge.org/lemonhinge"
+)
+
+// Request is one try of a client's request.
+type Request struct {
+	ID     string
+	Class  string
+	Object lemonhinge.ObjectID
+	Part   int
+	Group  int
+	SizeKB float64
+	Budget time.Duration // how long the client waits, from now
+	Token  string        // the client's idempotency key; may be empty
+	Have   string        // tag of a copy that the client holds; may be empty
+	Body   []byte        // kept until the final answer
+	Caller Caller
+	Ref    int32 // the front's own mark
+}
+
+// Caller gets the one final answer of each request that it has submitted and not revoked.
+type Caller interface {
+	Serve(r *Request, body []byte) // body is valid during the call only
+	ServeSame(r *Request)          // the copy that the client holds is the one
+	Refuse(r *Request, holdOff time.Duration)
+	Fail(r *Request)
+}
+
+// Order is an attempt as a cache is to get it.
+type Order struct {
+	ID       string
+	Class    string
+	Object   lemonhinge.ObjectID
+	Part     int
+	Patience time.Duration
+	Token    string
+	Source   string // name of the host a miss is filled from; empty: no fill
+	Rank     int
+	MaxAge   time.Duration
+	Options  lemonhinge.Options
+	Have     string
+	Body     []byte
+}
+
+// Reply is how a cache answered an order.
+type Reply struct {
+	Status lemonhinge.Status
+	Same   bool // the client's copy is the one; there is no body
+	Body   []byte
+	Note   lemonhinge.Note
+	Since  time.Duration // when the origin gave out this copy; 0: not told
+	Report lemonhinge.LoadReport
+}
+
+// Link is a connection to a cache.
+type Link interface {
+	Send(o *Order)
+	Undo(id string)
+	Drained() bool // the system has taken all that was written
+	LastIn() time.Duration
+	Close() // no event follows
+}
+
+// LinkEvents is told what happens on a link; none of it happens during a call of Dialer or Link.
+type LinkEvents interface {
+	Up()
+	Flushed()
+	Reply(id []byte, r *Reply)
+	Down(err error) // once and last
+}
+
+// Dialer starts a link.
+type Dialer interface {
+	Dial(address string, timeout time.Duration, ev LinkEvents) (Link, error)
+}
+
+// Member is one line of the list of hosts. Its Host number is routing's to give.
+type Member struct {
+	lemonhinge.Member
+	Name    string
+	Address string
+}
+
+// Limits bound what the director holds.
+type Limits struct {
+	MaxOpen       int           // requests
+	Streams       int           // attempts on one link at a time
+	LinksPerHost  int           // at most
+	IdleAfter     time.Duration // after which an unused link is closed
+	DialTimeout   time.Duration
+	MaxAttempts   int
+	DrainGrace    time.Duration
+	PurgeGrace    time.Duration
+	PurgeDone     time.Duration
+	SecondCopies  bool
+	LongestAnswer time.Duration // the longest deadline of a class
+}
+
+// Counts is what a director has taken in, sent and answered.
+type Counts struct {
+	Taken, Served, Same, Refused, Failed, Revoked        int64
+	Attempts, Undone, LateReplies, GuardStops, Withheld  int64
+	OK, Miss, Full, Errors, Void, TimedOut, Reset, NoCon int64
+	Dials, LinksLost, Purges, Lists                      int64
+}
--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,365 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readsPerTurn bounds what one connection may read before the others have their turn.
+const readsPerTurn = 4
+
+// Handler is told what happens on a connection. Closed comes once and last, but not after Conn.Close.
+type Handler interface {
+	// Opened tells that a dialled connection is up.
+	Opened()
+	// Data gives all bytes not yet used; they are valid during the call only. It returns how many it used and how
+	// many it needs, counted after those, before it is worth calling again. An error closes the connection.
+	Data(b []byte) (used, need int, err error)
+	// Flushed tells that a queue of bytes has been taken in full by the system.
+	Flushed()
+	// Closed tells why the connection ended; io.EOF where the peer closed it.
+	Closed(err error)
+}
+
+// Conn is one non-blocking connection.
+type Conn struct {
+	loop    *Loop
+	fd      int
+	handler Handler
+	dialing bool
+	closed  bool
+	fin     bool // no more is to be written
+	paused  bool
+	watched uint32
+	in      []byte // what has come and is not used yet
+	need    int
+	out     [][]byte
+	outHead int // bytes of out[0] already written
+	outSize int
+	lastIn  time.Duration
+	lastUse time.Duration
+	dial    Timer
+}
+
+// ErrDialTimeout is why a connection that did not come up in time was closed.
+var ErrDialTimeout = errors.New("dial timed out")
+
+// Dial starts to connect. Either Opened or Closed follows, never before Dial has returned.
+func (l *Loop) Dial(addr netip.AddrPort, timeout time.Duration, h Handler) (*Conn, error) {
+	family, sa := sockaddr(addr)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	if err := unix.Connect(fd, sa); err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		unix.Close(fd)
+		return nil, fmt.Errorf("connect %s: %w", addr, err)
+	}
+	c, err := l.open(fd, unix.EPOLLOUT, h)
+	if err != nil {
+		return nil, err
+	}
+	c.dialing = true
+	c.dial.Fire = func() { c.fail(ErrDialTimeout) }
+	l.Set(&c.dial, l.now+timeout)
+	return c, nil
+}
+
+func (l *Loop) open(fd int, events uint32, h Handler) (*Conn, error) {
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c := &Conn{loop: l, fd: fd, handler: h, watched: events, lastIn: l.now, lastUse: l.now}
+	if err := l.add(fd, events, c); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return c, nil
+}
+
+func sockaddr(addr netip.AddrPort) (family int, sa unix.Sockaddr) {
+	if ip := addr.Addr().Unmap(); ip.Is4() {
+		return unix.AF_INET, &unix.SockaddrInet4{Port: int(addr.Port()), Addr: ip.As4()}
+	}
+	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
+}
+
+// LastUse is when bytes last went either way.
+func (c *Conn) LastUse() time.Duration { return c.lastUse }
+
+// LastIn is when bytes last came in.
+func (c *Conn) LastIn() time.Duration { return c.lastIn }
+
+// Queued is how many bytes wait for the peer to take them.
+func (c *Conn) Queued() int { return c.outSize }
+
+// Buffered is how many bytes have come in that make no whole message yet.
+func (c *Conn) Buffered() int { return len(c.in) }
+
+// Write sends the parts in order and copies what the system does not take at once. It reports failures through
+// Closed, never from within the call.
+func (c *Conn) Write(parts ...[]byte) {
+	if c.closed || c.fin {
+		return
+	}
+	c.lastUse = c.loop.now
+	written := 0
+	if c.outSize == 0 && !c.dialing {
+		n, err := unix.Writev(c.fd, parts)
+		if n > 0 {
+			written = n
+		}
+		if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
+			// The poll that follows reports the broken connection; the rest is kept until then.
+			written = max(n, 0)
+		}
+	}
+	for _, p := range parts {
+		if written >= len(p) {
+			written -= len(p)
+			continue
+		}
+		c.enqueue(p[written:])
+		written = 0
+	}
+	c.watch()
+}
+
+func (c *Conn) enqueue(p []byte) {
+	c.outSize += len(p)
+	c.loop.queued += len(p)
+	if n := len(c.out); n > 0 && cap(c.out[n-1])-len(c.out[n-1]) >= len(p) {
+		c.out[n-1] = append(c.out[n-1], p...)
+		return
+	}
+	c.out = append(c.out, append(c.loop.spare.get(len(p)), p...))
+}
+
+// CloseAfterFlush sends what is queued, then ends the writing side and waits for the peer to close, so that
+// unread input cannot reset the connection under the last answer.
+func (c *Conn) CloseAfterFlush() {
+	if c.closed || c.fin {
+		return
+	}
+	c.fin = true
+	if c.outSize == 0 {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+}
+
+// Pause stops reading; Resume goes on.
+func (c *Conn) Pause() {
+	c.paused = true
+	c.watch()
+}
+
+// Resume goes on reading after Pause.
+func (c *Conn) Resume() {
+	c.paused = false
+	c.watch()
+}
+
+// Paused tells whether reading is stopped.
+func (c *Conn) Paused() bool { return c.paused }
+
+// Close ends the connection at once. Closed is not called.
+func (c *Conn) Close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.dial.Stop()
+	c.loop.drop(c.fd)
+	c.loop.queued -= c.outSize
+	c.outSize = 0
+	for _, b := range c.out {
+		c.loop.spare.put(b)
+	}
+	c.out = nil
+	c.keep(nil)
+}
+
+func (c *Conn) fail(err error) {
+	if !c.closed {
+		c.Close()
+		c.handler.Closed(err)
+	}
+}
+
+// watch keeps epoll's mask in step with what the connection waits for.
+func (c *Conn) watch() {
+	if c.closed {
+		return
+	}
+	var events uint32
+	if !c.paused && !c.dialing {
+		events |= unix.EPOLLIN
+	}
+	if c.dialing || c.outSize > 0 {
+		events |= unix.EPOLLOUT
+	}
+	if events != c.watched {
+		c.watched = events
+		ev := unix.EpollEvent{Events: events, Fd: int32(c.fd)}
+		if err := unix.EpollCtl(c.loop.epoll, unix.EPOLL_CTL_MOD, c.fd, &ev); err != nil {
+			c.fail(fmt.Errorf("epoll modify: %w", err))
+		}
+	}
+}
+
+func (c *Conn) ready(events uint32) {
+	if c.dialing {
+		c.finishDial()
+		return
+	}
+	if events&unix.EPOLLOUT != 0 && c.outSize > 0 {
+		c.flush()
+	}
+	if !c.closed && !c.paused && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		c.read()
+	} else if !c.closed && events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		c.fail(c.socketError()) // paused: epoll reports these all the same, and would for ever
+	}
+}
+
+func (c *Conn) socketError() error {
+	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return unix.Errno(code)
+	}
+	return unix.ECONNRESET
+}
+
+func (c *Conn) finishDial() {
+	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
+		c.fail(fmt.Errorf("connect: %w", err))
+		return
+	}
+	c.dialing = false
+	c.dial.Stop()
+	c.lastIn, c.lastUse = c.loop.now, c.loop.now
+	c.watch()
+	c.handler.Opened()
+	if !c.closed && c.outSize > 0 {
+		c.flush()
+	}
+}
+
+func (c *Conn) flush() {
+	for c.outSize > 0 {
+		n, err := unix.Write(c.fd, c.out[0][c.outHead:])
+		if err != nil {
+			if errors.Is(err, unix.EINTR) {
+				continue
+			}
+			if !errors.Is(err, unix.EAGAIN) {
+				c.fail(fmt.Errorf("write: %w", err))
+			}
+			return
+		}
+		c.lastUse = c.loop.now
+		c.outSize -= n
+		c.loop.queued -= n
+		c.outHead += n
+		if c.outHead == len(c.out[0]) {
+			c.loop.spare.put(c.out[0])
+			c.out[0] = nil
+			c.out, c.outHead = c.out[1:], 0
+		}
+	}
+	c.out = nil
+	c.watch()
+	if c.fin {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+	c.handler.Flushed()
+}
+
+// read takes in what has come. A message that is whole is handed on from the shared space; only an unfinished one
+// gets a buffer of its own.
+func (c *Conn) read() {
+	for range readsPerTurn {
+		space := c.loop.scratch
+		if len(c.in) > 0 {
+			c.reserve()
+			space = c.in[len(c.in):cap(c.in)]
+		}
+		n, err := unix.Read(c.fd, space)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case errors.Is(err, unix.EAGAIN):
+			return
+		case err != nil:
+			c.fail(fmt.Errorf("read: %w", err))
+			return
+		case n == 0:
+			c.fail(io.EOF)
+			return
+		}
+		c.lastIn, c.lastUse = c.loop.now, c.loop.now
+		data := space[:n]
+		if len(c.in) > 0 {
+			c.in = c.in[:len(c.in)+n]
+			data = c.in
+		}
+		if !c.consume(data) || c.paused || n < len(space) {
+			return
+		}
+	}
+}
+
+// reserve makes room in the connection's own buffer for what the handler needs next.
+func (c *Conn) reserve() {
+	want := max(c.need, len(c.in)+1)
+	if cap(c.in) >= want {
+		return
+	}
+	bigger := append(c.loop.spare.get(max(want, 2*cap(c.in))), c.in...)
+	c.loop.spare.put(c.in)
+	c.in = bigger
+}
+
+// consume hands data to the handler and keeps the rest. It tells whether the connection is still open.
+func (c *Conn) consume(data []byte) bool {
+	if len(data) < c.need {
+		c.keep(data)
+		return true
+	}
+	used, need, err := c.handler.Data(data)
+	if c.closed {
+		return false
+	}
+	if err != nil {
+		c.fail(err)
+		return false
+	}
+	c.need = need
+	c.keep(data[used:])
+	return true
+}
+
+// keep holds on to unused bytes and gives the buffer back when there are none.
+func (c *Conn) keep(rest []byte) {
+	switch {
+	case len(rest) == 0:
+		if c.in != nil {
+			c.loop.spare.put(c.in)
+			c.in = nil
+		}
+	case len(c.in) == 0:
+		c.in = append(c.loop.spare.get(max(len(rest), c.need)), rest...)
+	default:
+		c.in = c.in[:copy(c.in[:cap(c.in)], rest)]
+	}
+}
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -147,7 +147,7 @@
 	if f.err != nil {
 		return f.err
 	}
-	settings, err := parseSettings(f.rest)
+	settings, _, err := ParseSettings(f.rest)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -105,10 +105,18 @@
 	return zero
 }
 
-func parseSettings(words []string) (lemonhinge.Settings, error) {
+// SocketSettings are the settings that the simulator keeps for itself and a director on sockets needs.
+type SocketSettings struct {
+	Streams  int           // attempts that one connection carries
+	ConnIdle time.Duration // after which the other end closes an idle connection
+	Reports  []string      // the load values that answers carry
+}
+
+// ParseSettings reads path=value words.
+func ParseSettings(words []string) (lemonhinge.Settings, SocketSettings, error) {
 	p, err := newPairs(words)
 	if err != nil {
-		return lemonhinge.Settings{}, err
+		return lemonhinge.Settings{}, SocketSettings{}, err
 	}
 	s := lemonhinge.Settings{
 		Zone:              p.text("Zone"),
@@ -155,7 +163,11 @@
 		OriginFall:        p.time("FamilyInfo.RootFall"),
 	}
 	s.Classes = parseClasses(p)
-	return s, p.err
+	sockets := SocketSettings{Streams: p.integer("Limits.Multiplex"), ConnIdle: p.time("Limits.ConnIdle")}
+	if p.text("Report.How") == "inline" {
+		sockets.Reports = p.list("Report.Fields")
+	}
+	return s, sockets, p.err
 }
 
 func parseClasses(p *pairs) []lemonhinge.Class {
