--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"lemonhinge.org/lemonhinge/internal/wire"
+	"stairvane.org/stairvane/internal/wire"
 )
 
 func main() {
--- a/cmd/stairvane/main.go
+++ b/cmd/stairvane/main.go
@@ -11,8 +11,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"lemonhinge.org/lemonhinge/internal/config"
-	"lemonhinge.org/lemonhinge/internal/program"
+	"stairvane.org/stairvane/internal/config"
+	"stairvane.org/stairvane/internal/program"
 )
 
 // The live heap is small, so the collector may run seldom; the limit keeps that within the machine's memory, of which
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,9 +10,9 @@
 	"os"
 	"strconv"
 
-	"lemonhinge.org/lemonhinge"
-	"lemonhinge.org/lemonhinge/internal/protocol/bulletin"
-	"lemonhinge.org/lemonhinge/internal/wire"
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/wire"
 )
 
 // Defaults and bounds.
@@ -32,7 +32,7 @@
 	MemoryMB int
 	Sockets  int
 	Known    bulletin.Feed
-	Settings lemonhinge.Settings
+	Settings stairvane.Settings
 	Pools    wire.SocketSettings
 }
 
--- a/internal/program/caches.go
+++ b/internal/program/caches.go
@@ -7,10 +7,10 @@
 	"strconv"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
-	"lemonhinge.org/lemonhinge/internal/protocol/resp"
-	"lemonhinge.org/lemonhinge/internal/routing"
-	"lemonhinge.org/lemonhinge/internal/transport"
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/protocol/resp"
+	"stairvane.org/stairvane/internal/routing"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 // caches dials the caches and speaks their protocol.
@@ -72,11 +72,11 @@
 
 // optionWords are the words of the field do, by the module's bits.
 var optionWords = []struct {
-	bit  lemonhinge.Options
+	bit  stairvane.Options
 	word string
 }{
-	{lemonhinge.Join, "merge"}, {lemonhinge.SourceHolds, "local"},
-	{lemonhinge.ParentPasses, "skip"}, {lemonhinge.Renew, "revalidate"},
+	{stairvane.Join, "merge"}, {stairvane.SourceHolds, "local"},
+	{stairvane.ParentPasses, "skip"}, {stairvane.Renew, "revalidate"},
 }
 
 // Send implements routing.Link.
@@ -151,19 +151,19 @@
 	}
 }
 
-var replyWords = map[string]lemonhinge.Status{
-	"OK": lemonhinge.OK, "SAME": lemonhinge.OK, "MISS": lemonhinge.Miss, "BUSY": lemonhinge.Full,
-	"ERR": lemonhinge.Failed, "VOID": lemonhinge.Moot,
+var replyWords = map[string]stairvane.Status{
+	"OK": stairvane.OK, "SAME": stairvane.OK, "MISS": stairvane.Miss, "BUSY": stairvane.Full,
+	"ERR": stairvane.Failed, "VOID": stairvane.Moot,
 }
 
 // notes are the words of the field n; their places are the module's numbers, from 1.
 var notes = [...]string{"local", "pulled", "pulled_far", "rode", "expired", "turned_away", "cut_off", "not_there",
 	"no_place", "far_fault"}
 
-var noteNumbers = func() map[string]lemonhinge.Note {
-	m := map[string]lemonhinge.Note{}
+var noteNumbers = func() map[string]stairvane.Note {
+	m := map[string]stairvane.Note{}
 	for i, word := range notes {
-		m[word] = lemonhinge.Note(i + 1)
+		m[word] = stairvane.Note(i + 1)
 	}
 	return m
 }()
--- a/internal/program/feed.go
+++ b/internal/program/feed.go
@@ -8,10 +8,10 @@
 	"strconv"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
-	"lemonhinge.org/lemonhinge/internal/protocol/bulletin"
-	"lemonhinge.org/lemonhinge/internal/routing"
-	"lemonhinge.org/lemonhinge/internal/transport"
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/routing"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 const (
@@ -132,8 +132,8 @@
 	f.last = max(f.last, news.Last)
 }
 
-var states = map[string]lemonhinge.Readiness{
-	"in_service": lemonhinge.Ready, "terminating": lemonhinge.Draining, "terminated": lemonhinge.Gone,
+var states = map[string]stairvane.Readiness{
+	"in_service": stairvane.Ready, "terminating": stairvane.Draining, "terminated": stairvane.Gone,
 }
 
 func (f *feed) roster(r *bulletin.Roster) {
@@ -142,11 +142,11 @@
 		state, known := states[h.Health]
 		if !known {
 			log.Printf("bulletin: host %s in unknown state %q counts as draining", h.Name, h.Health)
-			state = lemonhinge.Draining
+			state = stairvane.Draining
 		}
 		members = append(members, routing.Member{
 			Name: h.Name, Address: h.Dial,
-			Member: lemonhinge.Member{
+			Member: stairvane.Member{
 				Zone: h.Site, Kind: h.Class, Cell: h.Block, Readiness: state, Weight: h.Share,
 				StartedAt: fromUnixMS(h.BornMS),
 			},
@@ -163,7 +163,7 @@
 			log.Printf("bulletin: purge of object %q can't be read", r.Item)
 			return
 		}
-		f.director.PurgeObject(lemonhinge.ObjectID(object), issued)
+		f.director.PurgeObject(stairvane.ObjectID(object), issued)
 	}
 	if r.Lot != nil {
 		f.director.PurgeGroup(*r.Lot, issued)
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -11,10 +11,10 @@
 	"strconv"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
-	"lemonhinge.org/lemonhinge/internal/protocol/thrift"
-	"lemonhinge.org/lemonhinge/internal/routing"
-	"lemonhinge.org/lemonhinge/internal/transport"
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/protocol/thrift"
+	"stairvane.org/stairvane/internal/routing"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 const (
@@ -247,7 +247,7 @@
 	if err != nil {
 		return nil, bad("obj")
 	}
-	r.Object = lemonhinge.ObjectID(number)
+	r.Object = stairvane.ObjectID(number)
 	if r.Part, err = small(call.Field("part")); err != nil {
 		return nil, bad("part")
 	}
--- a/internal/program/report.go
+++ b/internal/program/report.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"strings"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 // reportNames are the load values that are called otherwise on the sockets than in the settings.
@@ -29,11 +29,11 @@
 }
 
 // load reads name:value pairs set apart by semicolons. A report is only a hint: what can't be read is left out.
-func (c *caches) load(s string) lemonhinge.LoadReport {
+func (c *caches) load(s string) stairvane.LoadReport {
 	if len(c.report) == 0 {
 		return nil
 	}
-	report := lemonhinge.LoadReport{}
+	report := stairvane.LoadReport{}
 	for pair := range strings.SplitSeq(s, ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		if setting, wanted := c.report[name]; wanted {
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -6,9 +6,9 @@
 	"net/netip"
 	"time"
 
-	"lemonhinge.org/lemonhinge/internal/config"
-	"lemonhinge.org/lemonhinge/internal/routing"
-	"lemonhinge.org/lemonhinge/internal/transport"
+	"stairvane.org/stairvane/internal/config"
+	"stairvane.org/stairvane/internal/routing"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 const (
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -4,8 +4,8 @@
 	"log"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
-	"lemonhinge.org/lemonhinge/internal/transport"
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 // Director drives one instance of the decision module.
@@ -13,17 +13,17 @@
 	Counts Counts
 
 	loop    *transport.Loop
-	module  *lemonhinge.Router
+	module  *stairvane.Router
 	dialer  Dialer
 	limits  Limits
 	fresh   map[string]time.Duration // by class: the oldest that a copy may be; absent: any age
 	keeps   map[string]bool          // classes whose answers are copies
-	hosts   map[lemonhinge.HostID]*host
+	hosts   map[stairvane.HostID]*host
 	byName  map[string]*host
-	known   map[lemonhinge.RequestID]*request
+	known   map[stairvane.RequestID]*request
 	open    int
 	purges  purges
-	events  []lemonhinge.Event
+	events  []stairvane.Event
 	feeding bool
 	spare   []*alarm
 	upkeep  transport.Timer
@@ -33,12 +33,12 @@
 const upkeepEvery = 500 * time.Millisecond
 
 // New makes a director. Start begins its life.
-func New(loop *transport.Loop, s lemonhinge.Settings, seed uint64, limits Limits, dialer Dialer) *Director {
+func New(loop *transport.Loop, s stairvane.Settings, seed uint64, limits Limits, dialer Dialer) *Director {
 	d := &Director{
-		loop: loop, module: lemonhinge.NewRouter(s, seed), dialer: dialer, limits: limits,
+		loop: loop, module: stairvane.NewRouter(s, seed), dialer: dialer, limits: limits,
 		fresh: map[string]time.Duration{}, keeps: map[string]bool{},
-		hosts: map[lemonhinge.HostID]*host{}, byName: map[string]*host{},
-		known:  map[lemonhinge.RequestID]*request{},
+		hosts: map[stairvane.HostID]*host{}, byName: map[string]*host{},
+		known:  map[stairvane.RequestID]*request{},
 		purges: newPurges(),
 	}
 	for _, c := range s.Classes {
@@ -65,7 +65,7 @@
 // Ready tells whether there is a cache that could be asked.
 func (d *Director) Ready() bool {
 	for _, h := range d.hosts {
-		if h.Readiness == lemonhinge.Ready {
+		if h.Readiness == stairvane.Ready {
 			return true
 		}
 	}
@@ -74,7 +74,7 @@
 
 // feed hands an event to the module and carries out what it calls for. What those actions bring about at once
 // waits its turn, so that the module never sees an event while its last actions are being carried out.
-func (d *Director) feed(ev lemonhinge.Event) {
+func (d *Director) feed(ev stairvane.Event) {
 	d.events = append(d.events, ev)
 	if d.feeding {
 		return
@@ -91,31 +91,31 @@
 }
 
 // act carries out one action.
-func (d *Director) act(action lemonhinge.Action) {
+func (d *Director) act(action stairvane.Action) {
 	switch a := action.(type) {
-	case lemonhinge.Obtain:
+	case stairvane.Obtain:
 		d.obtain(a)
-	case lemonhinge.Abort:
+	case stairvane.Abort:
 		d.abort(a)
-	case lemonhinge.Deny:
+	case stairvane.Deny:
 		if q := d.unanswered(a.Request); q != nil {
 			d.Counts.Refused++
 			d.conclude(q)
 			q.Caller.Refuse(q.Request, a.HoldOff)
 		}
-	case lemonhinge.Drop:
+	case stairvane.Drop:
 		if q := d.unanswered(a.Request); q != nil {
 			d.Counts.Failed++
 			d.conclude(q)
 			q.Caller.Fail(q.Request)
 		}
-	case lemonhinge.After:
+	case stairvane.After:
 		d.after(a.Delay, a.Token)
-	case lemonhinge.NoteDown:
+	case stairvane.NoteDown:
 		log.Printf("module: %s", a.Line)
-	case lemonhinge.Subscribe, lemonhinge.Pull:
+	case stairvane.Subscribe, stairvane.Pull:
 		// The bulletin is followed from the start to the end.
-	case lemonhinge.Probe:
+	case stairvane.Probe:
 		log.Printf("module asked to probe host %d, which the sockets do not allow", a.Host)
 	}
 }
@@ -135,7 +135,7 @@
 		a.Fire = func() {
 			token := a.token
 			d.spare = append(d.spare, a)
-			d.feed(lemonhinge.Alarm{Token: token})
+			d.feed(stairvane.Alarm{Token: token})
 		}
 	}
 	a.token = token
@@ -148,7 +148,7 @@
 	d.loop.Set(&d.upkeep, now+upkeepEvery)
 	for id, h := range d.hosts {
 		h.closeIdle(now)
-		if h.Readiness == lemonhinge.Gone && len(h.links) == 0 && len(h.waiting) == 0 && now > h.told+d.limits.LongestAnswer {
+		if h.Readiness == stairvane.Gone && len(h.links) == 0 && len(h.waiting) == 0 && now > h.told+d.limits.LongestAnswer {
 			delete(d.hosts, id)
 			delete(d.byName, h.Name)
 		}
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 // host is one line of the list, with its links and the attempts that wait for one.
@@ -23,16 +23,16 @@
 func (d *Director) UpdateHosts(version int64, whole bool, members []Member) {
 	now := d.loop.Now()
 	d.Counts.Lists++
-	t := lemonhinge.Topology{Kind: lemonhinge.ListChanges, Version: version}
+	t := stairvane.Topology{Kind: stairvane.ListChanges, Version: version}
 	if whole {
-		t.Kind = lemonhinge.ListAll
+		t.Kind = stairvane.ListAll
 		listed := map[string]bool{}
 		for _, m := range members {
 			listed[m.Name] = true
 		}
 		for name, h := range d.byName {
 			if !listed[name] {
-				h.moveTo(lemonhinge.Gone, now)
+				h.moveTo(stairvane.Gone, now)
 			}
 		}
 	}
@@ -56,14 +56,14 @@
 
 // number gives a host its number for the module. All directors must hash objects to the same caches, so it comes
 // from the name alone.
-func (d *Director) number(name string) lemonhinge.HostID {
+func (d *Director) number(name string) stairvane.HostID {
 	for salt := 0; ; salt++ {
 		sum := fnv.New32a()
 		sum.Write([]byte(name))
 		if salt > 0 {
 			sum.Write([]byte(strconv.Itoa(salt)))
 		}
-		id := lemonhinge.HostID(sum.Sum32())
+		id := stairvane.HostID(sum.Sum32())
 		if other := d.hosts[id]; other == nil {
 			return id
 		} else {
@@ -72,7 +72,7 @@
 	}
 }
 
-func (h *host) moveTo(r lemonhinge.Readiness, now time.Duration) {
+func (h *host) moveTo(r stairvane.Readiness, now time.Duration) {
 	if h.Readiness != r {
 		h.Readiness, h.told = r, now
 	}
@@ -80,7 +80,7 @@
 
 // unfit tells whether nothing new may go to the host. The last part of the grace is left for the way to it.
 func (h *host) unfit(now, grace time.Duration) bool {
-	return h.Readiness != lemonhinge.Ready && now >= h.told+grace/2
+	return h.Readiness != stairvane.Ready && now >= h.told+grace/2
 }
 
 // retire keeps new attempts off the links to a process that is no more: all of them after a change of address, else
@@ -152,7 +152,7 @@
 	}
 	for _, a := range slices.Clone(h.waiting) {
 		h.director.Counts.NoCon++
-		h.director.end(a, &Reply{Status: lemonhinge.ConnectFailed})
+		h.director.end(a, &Reply{Status: stairvane.ConnectFailed})
 	}
 }
 
@@ -176,7 +176,7 @@
 func (h *host) closeIdle(now time.Duration) {
 	for _, l := range slices.Clone(h.links) {
 		if l.up && len(l.open) == 0 &&
-			(l.retired || h.Readiness == lemonhinge.Gone || now-l.idleSince >= h.director.limits.IdleAfter) {
+			(l.retired || h.Readiness == stairvane.Gone || now-l.idleSince >= h.director.limits.IdleAfter) {
 			l.drop()
 		}
 	}
@@ -258,9 +258,9 @@
 	clear(l.open)
 	slices.SortFunc(open, func(a, b *attempt) int { return int(a.sentAt - b.sentAt) })
 	for _, a := range open {
-		status := lemonhinge.Reset
+		status := stairvane.Reset
 		if !a.whole {
-			status = lemonhinge.ConnectFailed
+			status = stairvane.ConnectFailed
 		}
 		d.count(status)
 		d.end(a, &Reply{Status: status})
@@ -271,22 +271,22 @@
 	}
 }
 
-func (d *Director) count(s lemonhinge.Status) {
+func (d *Director) count(s stairvane.Status) {
 	c := &d.Counts
 	switch s {
-	case lemonhinge.OK:
+	case stairvane.OK:
 		c.OK++
-	case lemonhinge.Miss:
+	case stairvane.Miss:
 		c.Miss++
-	case lemonhinge.Full:
+	case stairvane.Full:
 		c.Full++
-	case lemonhinge.Failed:
+	case stairvane.Failed:
 		c.Errors++
-	case lemonhinge.Moot:
+	case stairvane.Moot:
 		c.Void++
-	case lemonhinge.Reset:
+	case stairvane.Reset:
 		c.Reset++
-	case lemonhinge.ConnectFailed:
+	case stairvane.ConnectFailed:
 		c.NoCon++
 	}
 }
--- a/internal/routing/purges.go
+++ b/internal/routing/purges.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 // purge is one purge: copies given out before issued are void, and told is when this director heard of it.
@@ -12,20 +12,20 @@
 
 // purges holds those that may still matter, by object and by group.
 type purges struct {
-	objects map[lemonhinge.ObjectID][]purge
+	objects map[stairvane.ObjectID][]purge
 	groups  map[int][]purge
 }
 
 func newPurges() purges {
-	return purges{objects: map[lemonhinge.ObjectID][]purge{}, groups: map[int][]purge{}}
+	return purges{objects: map[stairvane.ObjectID][]purge{}, groups: map[int][]purge{}}
 }
 
 // PurgeObject takes in a purge of one object.
-func (d *Director) PurgeObject(object lemonhinge.ObjectID, issued time.Duration) {
+func (d *Director) PurgeObject(object stairvane.ObjectID, issued time.Duration) {
 	now := d.loop.Now()
 	d.Counts.Purges++
 	d.purges.objects[object] = append(d.purges.objects[object], purge{issued, now})
-	d.feed(lemonhinge.Invalidated{Object: object, Age: max(0, now-issued)})
+	d.feed(stairvane.Invalidated{Object: object, Age: max(0, now-issued)})
 }
 
 // PurgeGroup takes in a purge of a group of objects.
@@ -33,7 +33,7 @@
 	now := d.loop.Now()
 	d.Counts.Purges++
 	d.purges.groups[group] = append(d.purges.groups[group], purge{issued, now})
-	d.feed(lemonhinge.Invalidated{Group: group, Whole: true, Age: max(0, now-issued)})
+	d.feed(stairvane.Invalidated{Group: group, Whole: true, Age: max(0, now-issued)})
 }
 
 func (p *purges) any(q *request, f func(purge) bool) bool {
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -5,14 +5,14 @@
 	"slices"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
-	"lemonhinge.org/lemonhinge/internal/transport"
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 // request is one that was taken in. It is known until it is answered and no attempt of it is out.
 type request struct {
 	*Request
-	key      lemonhinge.RequestID
+	key      stairvane.RequestID
 	deadline time.Duration
 	answered bool
 	out      int
@@ -24,7 +24,7 @@
 type attempt struct {
 	req       *request
 	number    int
-	what      lemonhinge.Obtain
+	what      stairvane.Obtain
 	host      *host
 	source    *host // nil: no fill
 	decidedAt time.Duration
@@ -38,7 +38,7 @@
 // Submit takes a request in. Its caller gets one final answer.
 func (d *Director) Submit(r *Request) {
 	d.Counts.Taken++
-	key := lemonhinge.RequestID(r.ID)
+	key := stairvane.RequestID(r.ID)
 	// The module would take a second request of the same id for the first; the caller is owed an answer all the same.
 	if d.known[key] != nil {
 		log.Printf("request %s is open already: failed", r.ID)
@@ -53,23 +53,23 @@
 	}
 	d.known[key] = &request{Request: r, key: key, deadline: d.loop.Now() + r.Budget}
 	d.open++
-	d.feed(lemonhinge.Query{Request: key, Object: r.Object, Part: r.Part, Group: r.Group, Class: r.Class,
+	d.feed(stairvane.Query{Request: key, Object: r.Object, Part: r.Part, Group: r.Group, Class: r.Class,
 		SizeKB: r.SizeKB, TimeLeft: r.Budget})
 }
 
 // Revoke ends a request whose client has gone; no answer follows.
 func (d *Director) Revoke(r *Request) {
-	q := d.unanswered(lemonhinge.RequestID(r.ID))
+	q := d.unanswered(stairvane.RequestID(r.ID))
 	if q == nil || q.Request != r {
 		return
 	}
 	d.Counts.Revoked++
 	d.conclude(q)
-	d.feed(lemonhinge.Left{Request: q.key})
+	d.feed(stairvane.Left{Request: q.key})
 }
 
 // unanswered is the request of that id if it is still owed its final answer.
-func (d *Director) unanswered(id lemonhinge.RequestID) *request {
+func (d *Director) unanswered(id stairvane.RequestID) *request {
 	if q := d.known[id]; q != nil && !q.answered {
 		return q
 	}
@@ -90,7 +90,7 @@
 }
 
 // obtain makes an attempt.
-func (d *Director) obtain(o lemonhinge.Obtain) {
+func (d *Director) obtain(o stairvane.Obtain) {
 	q, h := d.known[o.Request], d.hosts[o.Host]
 	if q == nil {
 		return
@@ -108,7 +108,7 @@
 		d.Counts.GuardStops++
 		log.Printf("attempt %d of %s not made: answered=%t host=%t source=%t out=%d", a.number, q.ID, q.answered,
 			h != nil, known, q.out)
-		d.end(a, &Reply{Status: lemonhinge.Moot})
+		d.end(a, &Reply{Status: stairvane.Moot})
 		return
 	}
 	// Until it is written it may wait for a link, but no longer than a connection may take to come up.
@@ -127,7 +127,7 @@
 	if why := d.stale(a, now); why != "" {
 		d.Counts.GuardStops++
 		log.Printf("attempt %d of %s to %s not sent: %s", a.number, a.req.ID, a.host.Name, why)
-		d.end(a, &Reply{Status: lemonhinge.Moot})
+		d.end(a, &Reply{Status: stairvane.Moot})
 		return
 	}
 	q := a.req
@@ -179,21 +179,21 @@
 	case a.link != nil:
 		d.undo(a)
 		d.Counts.TimedOut++
-		status := lemonhinge.TimedOut
+		status := stairvane.TimedOut
 		if !a.whole {
-			status = lemonhinge.ConnectFailed // it never came whole to the cache
+			status = stairvane.ConnectFailed // it never came whole to the cache
 		}
 		d.end(a, &Reply{Status: status})
 	case d.loop.Now() >= a.req.deadline:
-		d.end(a, &Reply{Status: lemonhinge.Moot})
+		d.end(a, &Reply{Status: stairvane.Moot})
 	default:
 		d.Counts.NoCon++
-		d.end(a, &Reply{Status: lemonhinge.ConnectFailed})
+		d.end(a, &Reply{Status: stairvane.ConnectFailed})
 	}
 }
 
 // abort calls an attempt off for the module.
-func (d *Director) abort(o lemonhinge.Abort) {
+func (d *Director) abort(o stairvane.Abort) {
 	q := d.known[o.Request]
 	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || q.attempts[o.Attempt].ended {
 		return
@@ -202,7 +202,7 @@
 	if a.link != nil {
 		d.undo(a)
 	}
-	d.end(a, &Reply{Status: lemonhinge.Cancelled})
+	d.end(a, &Reply{Status: stairvane.Cancelled})
 }
 
 // undo tells the cache that an attempt is given up. It must be written before the request's next attempt is sent; a
@@ -238,17 +238,17 @@
 		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(w *attempt) bool { return w == a })
 	}
 	status := r.Status
-	if status == lemonhinge.OK && !q.answered {
+	if status == stairvane.OK && !q.answered {
 		if why := d.unfitCopy(a, r); why != "" {
 			d.Counts.Withheld++
 			log.Printf("answer of %s to %s not passed on: %s", a.host.Name, q.ID, why)
-			status = lemonhinge.Miss
+			status = stairvane.Miss
 		} else {
 			d.serve(q, r)
 		}
 	}
 	d.forget(q)
-	d.feed(lemonhinge.Answer{Request: q.key, Terminal: q.answered, Host: a.what.Host, Attempt: a.number, Note: r.Note,
+	d.feed(stairvane.Answer{Request: q.key, Terminal: q.answered, Host: a.what.Host, Attempt: a.number, Note: r.Note,
 		Status: status, Elapsed: d.loop.Now() - a.decidedAt, Report: r.Report})
 }
 
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -6,14 +6,14 @@
 import (
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 // Request is one try of a client's request.
 type Request struct {
 	ID     string
 	Class  string
-	Object lemonhinge.ObjectID
+	Object stairvane.ObjectID
 	Part   int
 	Group  int
 	SizeKB float64
@@ -37,26 +37,26 @@
 type Order struct {
 	ID       string
 	Class    string
-	Object   lemonhinge.ObjectID
+	Object   stairvane.ObjectID
 	Part     int
 	Patience time.Duration
 	Token    string
 	Source   string // name of the host a miss is filled from; empty: no fill
 	Rank     int
 	MaxAge   time.Duration
-	Options  lemonhinge.Options
+	Options  stairvane.Options
 	Have     string
 	Body     []byte
 }
 
 // Reply is how a cache answered an order.
 type Reply struct {
-	Status lemonhinge.Status
+	Status stairvane.Status
 	Same   bool // the client's copy is the one; there is no body
 	Body   []byte
-	Note   lemonhinge.Note
+	Note   stairvane.Note
 	Since  time.Duration // when the origin gave out this copy; 0: not told
-	Report lemonhinge.LoadReport
+	Report stairvane.LoadReport
 }
 
 // Link is a connection to a cache.
@@ -83,7 +83,7 @@
 
 // Member is one line of the list of hosts. Its Host number is routing's to give.
 type Member struct {
-	lemonhinge.Member
+	stairvane.Member
 	Name    string
 	Address string
 }
--- a/internal/wire/format.go
+++ b/internal/wire/format.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 func millis(d time.Duration) string {
@@ -21,26 +21,26 @@
 }
 
 // writeAction writes one action's line.
-func writeAction(w *bufio.Writer, slot int, action lemonhinge.Action) {
+func writeAction(w *bufio.Writer, slot int, action stairvane.Action) {
 	switch a := action.(type) {
-	case lemonhinge.Obtain:
+	case stairvane.Obtain:
 		fmt.Fprintf(w, "obtain %d %s %d %d %s %d %s %d\n", slot, a.Request, a.Host, a.Options,
 			millis(a.MaxAge), a.Rank, millis(a.Timeout), a.Source)
-	case lemonhinge.Deny:
+	case stairvane.Deny:
 		fmt.Fprintf(w, "deny %d %s %s\n", slot, a.Request, millis(a.HoldOff))
-	case lemonhinge.Drop:
+	case stairvane.Drop:
 		fmt.Fprintf(w, "drop_request %d %s\n", slot, a.Request)
-	case lemonhinge.Abort:
+	case stairvane.Abort:
 		fmt.Fprintf(w, "abort_attempt %d %s %d\n", slot, a.Request, a.Attempt)
-	case lemonhinge.Probe:
+	case stairvane.Probe:
 		fmt.Fprintf(w, "health_check %d %d\n", slot, a.Host)
-	case lemonhinge.After:
+	case stairvane.After:
 		fmt.Fprintf(w, "after %d %s %s\n", slot, millis(a.Delay), a.Token)
-	case lemonhinge.Subscribe:
+	case stairvane.Subscribe:
 		fmt.Fprintf(w, "stream_changes %d %d\n", slot, bit(a.Want))
-	case lemonhinge.Pull:
+	case stairvane.Pull:
 		fmt.Fprintf(w, "pull %d\n", slot)
-	case lemonhinge.NoteDown:
+	case stairvane.NoteDown:
 		fmt.Fprintf(w, "note_down %d %s\n", slot, a.Line)
 	}
 }
--- a/internal/wire/parse.go
+++ b/internal/wire/parse.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 const absent = "-"
@@ -86,12 +86,12 @@
 	return int(n)
 }
 
-func (f *fields) host(field string) lemonhinge.HostID {
+func (f *fields) host(field string) stairvane.HostID {
 	n, err := strconv.ParseUint(f.need(field), 10, 32)
 	if err != nil {
 		f.fail(field, "not a host number")
 	}
-	return lemonhinge.HostID(n)
+	return stairvane.HostID(n)
 }
 
 func (f *fields) number(field, v string) float64 {
@@ -138,12 +138,12 @@
 	return false
 }
 
-func (f *fields) object(field, v string) lemonhinge.ObjectID {
+func (f *fields) object(field, v string) stairvane.ObjectID {
 	n, err := strconv.ParseUint(v, 16, 64)
 	if err != nil || len(v) != 16 {
 		f.fail(field, "not 16 hex digits")
 	}
-	return lemonhinge.ObjectID(n)
+	return stairvane.ObjectID(n)
 }
 
 func (f *fields) bytes(field string) []byte {
@@ -158,12 +158,12 @@
 	return b
 }
 
-func (f *fields) report(field string) lemonhinge.LoadReport {
+func (f *fields) report(field string) stairvane.LoadReport {
 	v, ok := f.optional(field)
 	if !ok {
 		return nil
 	}
-	report := lemonhinge.LoadReport{}
+	report := stairvane.LoadReport{}
 	for _, pair := range strings.Split(v, ",") {
 		name, value, found := strings.Cut(pair, ":")
 		if !found {
@@ -188,30 +188,30 @@
 	return time.Duration(math.Round(ms*1000)) * time.Microsecond
 }
 
-func parseMember(line string) (lemonhinge.Member, error) {
+func parseMember(line string) (stairvane.Member, error) {
 	f := newFields(line)
 	if f.name != "item" {
-		return lemonhinge.Member{}, fmt.Errorf("item line expected, got %q", f.name)
+		return stairvane.Member{}, fmt.Errorf("item line expected, got %q", f.name)
 	}
-	m := lemonhinge.Member{
+	m := stairvane.Member{
 		Host:      f.host("Host"),
 		Zone:      f.need("Zone"),
 		Kind:      f.need("Shape"),
 		Cell:      int(f.optionalInt("Cluster")),
-		Readiness: lemonhinge.Readiness(f.need("Readiness")),
+		Readiness: stairvane.Readiness(f.need("Readiness")),
 		Weight:    f.optionalNumber("Share"),
 		StartedAt: f.optionalTime("StartedAt"),
 	}
 	switch m.Readiness {
-	case lemonhinge.Ready, lemonhinge.Draining, lemonhinge.Gone:
+	case stairvane.Ready, stairvane.Draining, stairvane.Gone:
 	default:
 		f.fail("Readiness", "unknown")
 	}
 	return m, f.end()
 }
 
-func parseQuery(f *fields) lemonhinge.Event {
-	q := lemonhinge.Query{Request: lemonhinge.RequestID(f.need("Xid"))}
+func parseQuery(f *fields) stairvane.Event {
+	q := stairvane.Query{Request: stairvane.RequestID(f.need("Xid"))}
 	q.Object = f.object("Key", f.need("Key"))
 	flags := f.optionalInt("Flags")
 	q.Repeat, q.Write = flags&2 != 0, flags&4 != 0
@@ -224,14 +224,14 @@
 	return q
 }
 
-func parseAnswer(f *fields) lemonhinge.Event {
-	a := lemonhinge.Answer{
-		Request:   lemonhinge.RequestID(f.need("Xid")),
+func parseAnswer(f *fields) stairvane.Event {
+	a := stairvane.Answer{
+		Request:   stairvane.RequestID(f.need("Xid")),
 		Terminal:  f.flag("Terminal"),
 		FirstByte: f.optionalTime("FirstByte"),
 		Host:      f.host("Host"),
 		Attempt:   f.small("Hop"),
-		Note:      lemonhinge.Note(f.optionalInt("Detail")),
+		Note:      stairvane.Note(f.optionalInt("Detail")),
 		Status:    parseStatus(f, attemptEnds),
 		Elapsed:   f.time("Elapsed"),
 		Report:    f.report("HealthInfo"),
@@ -239,23 +239,23 @@
 	return a
 }
 
-var attemptEnds = map[lemonhinge.Status]bool{
-	lemonhinge.OK: true, lemonhinge.Failed: true, lemonhinge.Full: true, lemonhinge.TimedOut: true,
-	lemonhinge.ConnectFailed: true, lemonhinge.Reset: true, lemonhinge.Cancelled: true,
-	lemonhinge.Moot: true, lemonhinge.Miss: true,
+var attemptEnds = map[stairvane.Status]bool{
+	stairvane.OK: true, stairvane.Failed: true, stairvane.Full: true, stairvane.TimedOut: true,
+	stairvane.ConnectFailed: true, stairvane.Reset: true, stairvane.Cancelled: true,
+	stairvane.Moot: true, stairvane.Miss: true,
 }
 
 // parseStatus reads an outcome; a nil set takes any word, as for probes.
-func parseStatus(f *fields, known map[lemonhinge.Status]bool) lemonhinge.Status {
-	s := lemonhinge.Status(f.need("Status"))
+func parseStatus(f *fields, known map[stairvane.Status]bool) stairvane.Status {
+	s := stairvane.Status(f.need("Status"))
 	if known != nil && !known[s] {
 		f.fail("Status", "unknown")
 	}
 	return s
 }
 
-func parsePurge(f *fields) lemonhinge.Event {
-	p := lemonhinge.Invalidated{}
+func parsePurge(f *fields) stairvane.Event {
+	p := stairvane.Invalidated{}
 	if v, ok := f.optional("Key"); ok {
 		p.Object = f.object("Key", v)
 	} else {
@@ -267,8 +267,8 @@
 }
 
 // parseEvent reads any event that needs no list and starts or ends no instance.
-func parseEvent(f *fields) (lemonhinge.Event, error) {
-	var ev lemonhinge.Event
+func parseEvent(f *fields) (stairvane.Event, error) {
+	var ev stairvane.Event
 	switch f.name {
 	case "query":
 		ev = parseQuery(f)
@@ -277,17 +277,17 @@
 	case "invalidated":
 		ev = parsePurge(f)
 	case "left":
-		ev = lemonhinge.Left{Request: lemonhinge.RequestID(f.need("Xid"))}
+		ev = stairvane.Left{Request: stairvane.RequestID(f.need("Xid"))}
 	case "alarm":
-		ev = lemonhinge.Alarm{Token: f.need("Ctx")}
+		ev = stairvane.Alarm{Token: f.need("Ctx")}
 	case "first":
-		ev = lemonhinge.First{Request: lemonhinge.RequestID(f.need("Xid")), Attempt: f.small("Hop"),
+		ev = stairvane.First{Request: stairvane.RequestID(f.need("Xid")), Attempt: f.small("Hop"),
 			Host: f.host("Host"), Elapsed: f.time("Elapsed")}
 	case "status_back":
-		ev = lemonhinge.Probed{Host: f.host("Host"), Status: parseStatus(f, nil),
+		ev = stairvane.Probed{Host: f.host("Host"), Status: parseStatus(f, nil),
 			Elapsed: f.time("Elapsed"), Report: f.report("HealthInfo")}
 	case "peer":
-		ev = lemonhinge.Peer{From: f.small("Who"), Payload: f.bytes("Payload")}
+		ev = stairvane.Peer{From: f.small("Who"), Payload: f.bytes("Payload")}
 	default:
 		return nil, fmt.Errorf("unknown message %q", f.name)
 	}
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 // maxTables is how many numbered lists the wire has.
@@ -22,9 +22,9 @@
 	out       *bufio.Writer
 	line      int // number of the line read last
 	now       time.Duration
-	tables    [maxTables][]lemonhinge.Member
+	tables    [maxTables][]stairvane.Member
 	known     [maxTables]bool
-	instances map[int]*lemonhinge.Router
+	instances map[int]*stairvane.Router
 }
 
 // Serve answers batches until the input ends between two of them.
@@ -32,7 +32,7 @@
 	s := &server{
 		in:        bufio.NewReaderSize(r, 1<<20),
 		out:       bufio.NewWriterSize(w, 1<<20),
-		instances: map[int]*lemonhinge.Router{},
+		instances: map[int]*stairvane.Router{},
 	}
 	for {
 		line, err := s.read()
@@ -115,7 +115,7 @@
 		delete(s.instances, slot)
 		return f.end()
 	}
-	var ev lemonhinge.Event
+	var ev stairvane.Event
 	var err error
 	if f.name == "topology" {
 		ev, err = s.topology(f)
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	r := lemonhinge.NewRouter(settings, seed)
+	r := stairvane.NewRouter(settings, seed)
 	s.instances[slot] = r
 	for _, a := range r.Start(s.now) {
 		writeAction(s.out, slot, a)
@@ -167,7 +167,7 @@
 	if err := f.end(); err != nil {
 		return err
 	}
-	var members []lemonhinge.Member
+	var members []stairvane.Member
 	for range count {
 		line, err := s.more()
 		if err != nil {
@@ -183,12 +183,12 @@
 	return nil
 }
 
-func (s *server) topology(f *fields) (lemonhinge.Event, error) {
-	t := lemonhinge.Topology{Kind: lemonhinge.ListKind(f.need("Kind")), Version: f.optionalInt("Stamp")}
+func (s *server) topology(f *fields) (stairvane.Event, error) {
+	t := stairvane.Topology{Kind: stairvane.ListKind(f.need("Kind")), Version: f.optionalInt("Stamp")}
 	table := f.optionalInt("Table")
 	switch t.Kind {
-	case lemonhinge.ListRefused:
-	case lemonhinge.ListAll, lemonhinge.ListChanges, lemonhinge.ListRemembered:
+	case stairvane.ListRefused:
+	case stairvane.ListAll, stairvane.ListChanges, stairvane.ListRemembered:
 		if table < 0 || table >= maxTables || !s.known[table] {
 			f.fail("Table", "no such list")
 		} else {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"lemonhinge.org/lemonhinge"
+	"stairvane.org/stairvane"
 )
 
 // pairs reads the path=value settings of an up line. Keys that nobody asks for are skipped.
@@ -113,12 +113,12 @@
 }
 
 // ParseSettings reads path=value words.
-func ParseSettings(words []string) (lemonhinge.Settings, SocketSettings, error) {
+func ParseSettings(words []string) (stairvane.Settings, SocketSettings, error) {
 	p, err := newPairs(words)
 	if err != nil {
-		return lemonhinge.Settings{}, SocketSettings{}, err
+		return stairvane.Settings{}, SocketSettings{}, err
 	}
-	s := lemonhinge.Settings{
+	s := stairvane.Settings{
 		Zone:              p.text("Zone"),
 		Zones:             p.list("Areas"),
 		Slot:              p.integer("SlotNo"),
@@ -130,9 +130,9 @@
 		HubByZone:         p.integers("FamilyInfo.HubByZone"),
 		LinkKBPerS:        p.numbers("FamilyInfo.PipeKbPerS"),
 		FlowKBPerS:        p.number("FamilyInfo.OneFlowKbPerS"),
-		Weights:           lemonhinge.Weights(p.text("Weights")),
-		Tells:             lemonhinge.Tells(p.text("FamilyInfo.Tells")),
-		Siblings:          lemonhinge.Siblings(p.text("FamilyInfo.Siblings")),
+		Weights:           stairvane.Weights(p.text("Weights")),
+		Tells:             stairvane.Tells(p.text("FamilyInfo.Tells")),
+		Siblings:          stairvane.Siblings(p.text("FamilyInfo.Siblings")),
 		Joins:             p.flag("FamilyInfo.Joins"),
 		Direct:            p.flag("FamilyInfo.Direct"),
 		MustSubscribe:     p.text("MembershipMode") == "subscribe",
@@ -151,11 +151,11 @@
 		DrainGrace:        p.time("Rules.DrainGrace"),
 		PurgeGrace:        p.time("FamilyInfo.NoticeTime"),
 		PurgeDone:         p.time("FamilyInfo.PurgeDone"),
-		CacheCold: lemonhinge.ColdRule{
+		CacheCold: stairvane.ColdRule{
 			From: p.number("Rules.ColdFrom"), WarmsIn: p.time("Rules.Cold"),
 			Multiple: p.number("Rules.TipMultiple"), Window: p.time("Rules.Fall"),
 		},
-		ParentCold: lemonhinge.ColdRule{
+		ParentCold: stairvane.ColdRule{
 			From: p.number("FamilyInfo.UpperColdFrom"), WarmsIn: p.time("FamilyInfo.ParentWarmsIn"),
 			Multiple: p.number("FamilyInfo.ParentBreaksAt"), Window: p.time("Rules.Fall"),
 		},
@@ -170,7 +170,7 @@
 	return s, sockets, p.err
 }
 
-func parseClasses(p *pairs) []lemonhinge.Class {
+func parseClasses(p *pairs) []stairvane.Class {
 	n := p.integer("Grades.count")
 	if n < 0 || n > len(p.values) {
 		p.fail("Grades.count", "out of range")
@@ -179,18 +179,18 @@
 	fresh, extra := p.numbers("FamilyInfo.GoodFor"), p.numbers("FamilyInfo.OlderBy")
 	stale, parts := p.numbers("FamilyInfo.StaleEarns"), p.flags("FamilyInfo.MultiPart")
 	pass := p.flags("FamilyInfo.PassOn")
-	classes := make([]lemonhinge.Class, n)
+	classes := make([]stairvane.Class, n)
 	for i := range classes {
 		at1 := func(key string) string { return fmt.Sprintf("Grades.%d.%s", i, key) }
-		classes[i] = lemonhinge.Class{
+		classes[i] = stairvane.Class{
 			Name:        p.text(at1("Name")),
 			Aim:         p.time(at1("Aim")),
 			AimStretch:  p.number(at1("AimStretch")),
 			Deadline:    p.time(at1("Deadline")),
 			Worth:       p.number(at1("Worth")),
 			LateWorth:   p.number(at1("LateWorth")),
-			Effect:      lemonhinge.Effect(p.text(at1("Effect"))),
-			DedupScope:  lemonhinge.Scope(p.text(at1("Group"))),
+			Effect:      stairvane.Effect(p.text(at1("Effect"))),
+			DedupScope:  stairvane.Scope(p.text(at1("Group"))),
 			DedupWindow: p.time(at1("DedupWindow")),
 			Stream:      p.flag(at1("Stream")),
 			Fresh:       fromMillis(at(fresh, i)),
--- a/router_test.go
+++ b/router_test.go
@@ -1,4 +1,4 @@
-package lemonhinge
+package stairvane
 
 import (
 	"bufio"
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package lemonhinge
+package stairvane
 
 import (
 	"math/rand/v2"
--- a/types.go
+++ b/types.go
@@ -1,9 +1,9 @@
-// Package lemonhinge decides, for the front of a tier of caches that hold large objects behind thin
+// Package stairvane decides, for the front of a tier of caches that hold large objects behind thin
 // links, which cache answers each request, where a missing object is filled from, what is kept, and when
 // a request is held, tried again or refused.
 //
 // This file is the interface: settings, events and actions. All decisions are in router.go.
-package lemonhinge
+package stairvane
 
 import "time"
 
