--- a/internal/program/caches.go
+++ b/internal/program/caches.go
@@ -55,9 +55,6 @@
 // Drained implements routing.Link.
 func (l *cacheLink) Drained() bool { return l.conn.Queued() == 0 }
 
-// LastIn implements routing.Link.
-func (l *cacheLink) LastIn() time.Duration { return l.conn.LastIn() }
-
 // Close implements routing.Link.
 func (l *cacheLink) Close() { l.conn.Close() }
 
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -181,8 +181,10 @@
 	if c.open[call.Seq] != nil {
 		return fmt.Errorf("sequence number %d is open already", call.Seq)
 	}
-	if len(c.open) >= clientStreams {
-		return fmt.Errorf("more than %d requests open", clientStreams)
+	if len(c.open) >= clientStreams { // one too many is no reason to lose the others with the connection
+		c.front.Counts.Unserved++
+		c.conn.Write(thrift.AppendRefused(nil, call.Seq))
+		return nil
 	}
 	r, err := readRequest(call)
 	if err != nil {
--- /dev/null
+++ b/internal/program/peers_test.go
@@ -0,0 +1,278 @@
+package program
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/config"
+)
+
+// patience is how long a scripted peer waits for what must come; a story that keeps its word never spends it.
+const patience = 10 * time.Second
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// cache is a scripted cache.
+type cache struct {
+	t  *testing.T
+	ln net.Listener
+}
+
+func newCache(t *testing.T) *cache {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return &cache{t, ln}
+}
+
+func (c *cache) host(name, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"west","class":"std","health":%q,"share":1}`, name, c.ln.Addr(), health)
+}
+
+func (c *cache) accept() *peer {
+	c.t.Helper()
+	check(c.t, c.ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience)))
+	conn, err := c.ln.Accept()
+	check(c.t, err)
+	return newPeer(c.t, conn)
+}
+
+// peer is one connection of a script: a cache's, or a client's.
+type peer struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+	seq  int32
+}
+
+func newPeer(t *testing.T, conn net.Conn) *peer {
+	t.Cleanup(func() { conn.Close() })
+	check(t, conn.SetDeadline(time.Now().Add(patience)))
+	return &peer{t: t, conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (p *peer) write(s string) {
+	p.t.Helper()
+	_, err := io.WriteString(p.conn, s)
+	check(p.t, err)
+}
+
+func (p *peer) read(n int) string {
+	p.t.Helper()
+	b := make([]byte, n)
+	_, err := io.ReadFull(p.in, b)
+	check(p.t, err)
+	return string(b)
+}
+
+// words reads one command as a cache does.
+func (p *peer) words() []string {
+	p.t.Helper()
+	count := func() int {
+		line, err := p.in.ReadString('\n')
+		check(p.t, err)
+		n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+		check(p.t, err)
+		return n
+	}
+	w := make([]string, count())
+	for i := range w {
+		w[i] = strings.TrimSuffix(p.read(count()+2), "\r\n")
+	}
+	return w
+}
+
+// order reads a command that must be do; it gives the id and the fields.
+func (p *peer) order() (id string, fields map[string]string) {
+	p.t.Helper()
+	w := p.words()
+	if len(w) != 4 || w[0] != "do" {
+		p.t.Fatalf("an order expected, got %q", w)
+	}
+	fields = map[string]string{}
+	for pair := range strings.SplitSeq(w[2], ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		fields[name] = value
+	}
+	return w[1], fields
+}
+
+func (p *peer) answer(words ...string) {
+	p.t.Helper()
+	s := fmt.Sprintf("*%d\r\n", len(words))
+	for _, w := range words {
+		s += fmt.Sprintf("$%d\r\n%s\r\n", len(w), w)
+	}
+	p.write(s)
+}
+
+func be32(n int) string     { return string(binary.BigEndian.AppendUint32(nil, uint32(n))) }
+func str(s string) string   { return be32(len(s)) + s }
+func frame(s string) string { return str(s) }
+
+// call frames one message of the strict protocol.
+func (p *peer) call(kind int, name, args string) string {
+	p.seq++
+	return frame(be32(0x80010000|kind) + str(name) + be32(int(p.seq)) + args + "\x00")
+}
+
+// submitText is a call of submit for an object; more holds further fields as name, value.
+func (p *peer) submitText(rid, object string, budget time.Duration, more ...string) string {
+	f := append([]string{"method", "clips", "rid", rid, "budget", fmt.Sprint(budget.Milliseconds()), "obj", object,
+		"part", "0", "group", "5", "mem", "100"}, more...)
+	s := "\x0d\x00\x01\x0b\x0b" + be32(len(f)/2)
+	for _, word := range f {
+		s += str(word)
+	}
+	return p.call(1, "submit", s+"\x0b\x00\x02"+str(""))
+}
+
+func (p *peer) submit(rid, object string, more ...string) {
+	p.t.Helper()
+	p.write(p.submitText(rid, object, 5*time.Second, more...))
+}
+
+// reply is an answer as a client reads it.
+type reply struct {
+	seq    int32
+	kind   byte // 2 an answer or a declared exception, 3 an application exception
+	result int  // 0 an Answer, 1 refused, 2 failed
+	body   string
+	good   bool
+	fields map[string]string
+}
+
+func (p *peer) reply() reply {
+	p.t.Helper()
+	b := p.read(int(binary.BigEndian.Uint32([]byte(p.read(4)))))
+	take := func(n int) string {
+		s := b[:n]
+		b = b[n:]
+		return s
+	}
+	num := func() int { return int(binary.BigEndian.Uint32([]byte(take(4)))) }
+	r := reply{kind: byte(num()), fields: map[string]string{}}
+	take(num())
+	r.seq = int32(num())
+	if r.kind != 2 {
+		return r
+	}
+	head := take(3)
+	r.result = int(head[2])
+	for kind := take(1); kind != "\x00"; kind = take(1) {
+		take(2)
+		switch kind {
+		case "\x0b":
+			r.body = take(num())
+		case "\x02":
+			r.good = take(1) == "\x01"
+		case "\x0d":
+			take(2)
+			for range num() {
+				name := take(num())
+				r.fields[name] = take(num())
+			}
+		}
+	}
+	return r
+}
+
+// world is a director among scripted peers.
+type world struct {
+	t     *testing.T
+	p     *Program
+	ended chan error
+	polls chan string // the after of each call of the bulletin
+	news  chan string // what it answers; empty: the connection breaks
+}
+
+func newWorld(t *testing.T, hosts ...string) *world {
+	w := &world{t: t, ended: make(chan error, 1), polls: make(chan string, 64), news: make(chan string, 8)}
+	stop := make(chan struct{})
+	bulletin := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.polls <- r.URL.Query().Get("after")
+		select {
+		case text := <-w.news:
+			if text == "" {
+				panic(http.ErrAbortHandler)
+			}
+			io.WriteString(rw, text)
+		case <-stop:
+		}
+	}))
+	t.Cleanup(func() { close(stop); bulletin.Close() })
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": bulletin.Listener.Addr().String(),
+		"limits":   map[string]any{"memory_mb": 192, "sockets": 1024},
+		"known":    json.RawMessage(`{"no":1,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[` + strings.Join(hosts, ",") + `]}}]}`),
+		"settings": json.RawMessage(settings),
+	})
+	check(t, err)
+	c, err := config.Parse(text, "", "")
+	check(t, err)
+	w.p, err = New(c)
+	check(t, err)
+	go func() { w.ended <- w.p.Run() }()
+	t.Cleanup(func() {
+		w.p.Post(w.p.loop.Stop)
+		<-w.ended
+	})
+	w.poll("1")
+	return w
+}
+
+func (w *world) poll(after string) {
+	w.t.Helper()
+	select {
+	case got := <-w.polls:
+		if got != after {
+			w.t.Fatalf("bulletin asked for what comes after %s, want %s", got, after)
+		}
+	case <-time.After(patience):
+		w.t.Fatal("bulletin not asked")
+	}
+}
+
+// tell answers the open call of the bulletin and waits until the director has taken it in and asks again.
+func (w *world) tell(number int, event string) {
+	w.t.Helper()
+	w.news <- fmt.Sprintf(`{"no":%d,"items":[{"no":%d,%s}]}`, number, number, event)
+	w.poll(strconv.Itoa(number))
+}
+
+func (w *world) client() *peer {
+	w.t.Helper()
+	addr := make(chan netip.AddrPort, 1)
+	w.p.Post(func() {
+		a, _ := w.p.Addr()
+		addr <- a
+	})
+	conn, err := net.Dial("tcp", (<-addr).String())
+	check(w.t, err)
+	return newPeer(w.t, conn)
+}
+
+const settings = `{"Areas":["hub","west"],"Zone":"west","Models":["std","parent","origin"],"Balancers":1,"SlotNo":0,
+"FamilyInfo":{"ParentKind":-1,"SourceKind":2,"CountByZone":[0,1],"OneFlowKbPerS":5000,"Tells":"hit","Joins":true,
+ "Siblings":"off","NoticeTime":0,"PurgeDone":6000,"GoodFor":[0],"OlderBy":[0],"PassOn":[false],"MultiPart":[true]},
+"Grades":[{"Name":"clips","Aim":600,"AimStretch":2,"Deadline":6000,"Worth":2,"Effect":"safe","Group":"all"}],
+"Limits":{"Cancel":true,"ConnIdle":15000,"DialTimeout":400,"MaxAttempts":8,"MaxRetryAfter":2000,"MostHeld":20000,
+ "Multiplex":32,"RetryAfter":true},
+"Report":{"How":"inline","Fields":["cpu_share","busy_reqs"]},
+"Rules":{"DrainGrace":500,"GraceToAnswer":8,"Cold":16000,"ColdFrom":0.17,"Fall":3000,"TipMultiple":4}}`
--- /dev/null
+++ b/internal/program/stories_test.go
@@ -0,0 +1,225 @@
+package program
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	ridA = "aaaaaaaaaaaaaaa1"
+	ridB = "bbbbbbbbbbbbbbb2"
+	ridC = "ccccccccccccccc3"
+	objA = "7f3a9c21e0b4d655"
+	objB = "0000000000000001"
+)
+
+func (p *peer) want(seq int32, result int, body string) reply {
+	p.t.Helper()
+	r := p.reply()
+	if r.seq != seq || r.kind != 2 || r.result != result || r.body != body {
+		p.t.Fatalf("got %+.200v, want seq %d, result %d, body %.40q", r, seq, result, body)
+	}
+	return r
+}
+
+func TestServesAndPassesOnTheClientsCopy(t *testing.T) {
+	c := newCache(t)
+	client := newWorld(t, c.host("s-1", "in_service")).client()
+	client.submit(ridA, objA)
+	box := c.accept()
+	id, f := box.order()
+	if id != ridA || f["sort"] != "clips" || f["asset"] != objA || f["slice"] != "0" || f["store"] != "1" || f["do"] != "merge" {
+		t.Fatalf("order %s %v", id, f)
+	}
+	box.answer(ridA, "OK", "n=local,l=inflight:7;util:0.61,rev=4be0c1927d55a6f3,since=1764576000123", "bytes")
+	client.want(1, 0, "bytes")
+
+	client.submit(ridB, objA, "have", "4be0c1927d55a6f3")
+	if _, f = box.order(); f["inm"] != "4be0c1927d55a6f3" {
+		t.Fatalf("the client's copy is not passed on: %v", f)
+	}
+	box.answer(ridB, "SAME", "n=local,rev=4be0c1927d55a6f3,since=1764576000123", "")
+	if r := client.want(2, 0, ""); r.fields["same"] != "1" {
+		t.Fatalf("same is not told: %v", r.fields)
+	}
+}
+
+// Frames arrive in any pieces, several at once, and a slow reader's answers wait without a byte lost.
+func TestPartialFramesAndSlowReader(t *testing.T) {
+	c := newCache(t)
+	client := newWorld(t, c.host("s-1", "in_service")).client()
+	text := client.submitText(ridA, objA, 5*time.Second)
+	client.write(text[:9])
+	var box *peer
+	body := string(bytes.Repeat([]byte("0123456789abcdef"), 15_000))
+	client.write(text[9:])
+	box = c.accept()
+	box.order()
+	for i := range 12 { // 2.9 MB, far more than the sockets hold
+		rid := fmt.Sprintf("%016x", i)
+		client.submit(rid, objA)
+		box.order()
+		box.answer(rid, "OK", "n=local", body)
+	}
+	box.answer(ridA, "OK", "n=local", "last")
+	for i := range 12 {
+		client.want(int32(i+2), 0, body)
+	}
+	client.want(1, 0, "last")
+}
+
+// An undone attempt may still be answered: that answer is nobody's.
+func TestRevokeIsPassedOnAndALateAnswerIgnored(t *testing.T) {
+	c := newCache(t)
+	client := newWorld(t, c.host("s-1", "in_service")).client()
+	client.submit(ridA, objA)
+	box := c.accept()
+	box.order()
+	client.write(client.call(4, "revoke", "\x08\x00\x01"+be32(1)))
+	if w := box.words(); w[0] != "undo" || w[1] != ridA {
+		t.Fatalf("want undo, got %q", w)
+	}
+	box.answer(ridA, "OK", "n=local", "late")
+	client.submit(ridB, objB)
+	id, _ := box.order()
+	box.answer(id, "OK", "n=local", "mine")
+	client.want(3, 0, "mine")
+}
+
+// A refused connection proves that nothing ran; a reset does not, but the class is safe. Either way the client gets
+// one answer, from where the request went next.
+func TestRefusedAndResetAttemptsGoOn(t *testing.T) {
+	down := newCache(t)
+	up := newCache(t)
+	down.ln.Close()
+	client := newWorld(t, down.host("s-1", "in_service"), up.host("s-2", "in_service")).client()
+	var box *peer
+	for i := range 16 { // some of the objects belong to the cache that is down
+		client.submit(fmt.Sprintf("%016x", i), fmt.Sprintf("%016x", i*7919))
+		if box == nil {
+			box = up.accept()
+		}
+		id, _ := box.order()
+		box.answer(id, "OK", "n=local", id)
+		client.want(int32(i+1), 0, id)
+	}
+	client.submit(ridA, objA)
+	box.order()
+	check(t, box.conn.(*net.TCPConn).SetLinger(0))
+	box.conn.Close()
+	box = up.accept()
+	id, _ := box.order()
+	box.answer(id, "OK", "n=local", "again")
+	client.want(17, 0, "again")
+}
+
+// Whatever a cache says, no copy from before a purge reaches a client once the purge binds.
+func TestPurgedCopyIsWithheld(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	client := w.client()
+	issued := time.Now().UnixMilli()
+	w.tell(2, fmt.Sprintf(`"recall":{"lot":5,"issued":%d}`, issued))
+	client.submit(ridA, objA)
+	box := c.accept()
+	if _, f := box.order(); f["cap"] == "" {
+		t.Fatalf("no age cap after a purge: %v", f)
+	}
+	box.answer(ridA, "OK", fmt.Sprintf("n=local,since=%d", issued-1), "old")
+	box.order()
+	box.answer(ridA, "OK", fmt.Sprintf("n=pulled,since=%d", issued+1), "new")
+	client.want(1, 0, "new")
+}
+
+// The bulletin breaks off: the next call asks for what comes after the last event that was taken in.
+func TestBulletinIsResumed(t *testing.T) {
+	c, other := newCache(t), newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	w.tell(2, `"roster":{"seq":2,"whole":false,"hosts":[`+other.host("s-2", "in_service")+`]}`)
+	w.news <- ""
+	w.poll("2")
+	w.tell(3, `"roster":{"seq":3,"whole":false,"hosts":[`+c.host("s-1", "terminated")+`]}`)
+	client := w.client()
+	client.submit(ridA, objA)
+	box := other.accept()
+	id, _ := box.order()
+	box.answer(id, "OK", "n=local", "x")
+	client.want(1, 0, "x")
+}
+
+// With no cache left, the answer is a refusal at once, with the time to stay away.
+func TestRefusedAtOnceWithBackoff(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	client := w.client()
+	client.write(client.call(1, "heartbeat", "\x02\x00\x01\x01"))
+	if !client.want(1, 0, "").good {
+		t.Error("able to serve, but the heartbeat is not good")
+	}
+	w.tell(2, `"roster":{"seq":2,"whole":false,"hosts":[`+c.host("s-1", "terminating")+`]}`)
+	client.submit(ridA, objA)
+	if r := client.want(2, 1, ""); r.fields["backoff"] == "" {
+		t.Errorf("no backoff: %v", r.fields)
+	}
+	client.write(client.call(1, "heartbeat", "\x02\x00\x01\x01"))
+	if client.want(3, 0, "").good {
+		t.Error("no cache is left, but the heartbeat is good")
+	}
+}
+
+// Whoever sends rubbish loses that connection and nobody else's; a bad field costs that request alone.
+func TestMalformedInputStaysItsSendersTrouble(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	bad, client := w.client(), w.client()
+	bad.write("GET / HTTP/1.1\r\n\r\n")
+	if _, err := bad.in.ReadByte(); err == nil {
+		t.Error("rubbish was answered")
+	}
+	client.submit("not hex", objA)
+	if r := client.reply(); r.kind != 3 || r.seq != 1 {
+		t.Errorf("want an application exception, got %+v", r)
+	}
+	client.submit(ridA, objA)
+	box := c.accept()
+	box.order()
+	box.write("+PONG\r\n") // a cache that sends rubbish: its link goes, the request goes on
+	box = c.accept()
+	box.order()
+	box.answer(ridA, "OK", "n=local", "x")
+	client.want(2, 0, "x")
+}
+
+// After the order to leave, connections that still come are served, all that is open is answered, then it ends.
+func TestLeavesWhenAllIsAnswered(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	client := w.client()
+	client.submit(ridA, objA)
+	box := c.accept()
+	box.order()
+	w.p.Post(w.p.Leave)
+	late := w.client()
+	late.submit(ridB, objB)
+	id, _ := box.order()
+	box.answer(id, "OK", "n=local", "b")
+	late.want(1, 0, "b")
+	if _, err := late.in.ReadByte(); err == nil { // it waits for the end of the taking in, then closes
+		t.Error("bytes after the last answer")
+	}
+	client.submit(ridC, objB)
+	id, _ = box.order()
+	box.answer(id, "OK", "n=local", "c")
+	client.want(2, 0, "c")
+	box.answer(ridA, "OK", "n=local", strings.Repeat("a", 200_000))
+	client.want(1, 0, strings.Repeat("a", 200_000))
+	client.conn.Close()
+	late.conn.Close()
+	err := <-w.ended
+	w.ended <- err
+	check(t, err)
+}
--- /dev/null
+++ b/internal/protocol/bulletin/bulletin_test.go
@@ -0,0 +1,40 @@
+package bulletin
+
+import "testing"
+
+func TestResponsesInAnyPieces(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n{\"no\":4,\"items\":[]}  ",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\n{\"no\":4,\"i\r\n9;x=1\r\ntems\":[]}\r\n0\r\n\r\n",
+	} {
+		for n := range len(text) {
+			if _, used, need, err := ParseResponse([]byte(text[:n])); used != 0 || err != nil || need <= n {
+				t.Fatalf("%q: used %d, need %d, %v", text[:n], used, need, err)
+			}
+		}
+		r, used, _, err := ParseResponse([]byte(text + "HTTP"))
+		if err != nil || used != len(text) || r.Status != 200 || r.Close {
+			t.Fatalf("used %d, %v, %+v", used, err, r)
+		}
+		if f, err := Decode(r.Body); err != nil || f.Last != 4 {
+			t.Fatalf("%v, %+v", err, f)
+		}
+	}
+}
+
+func TestMalformedResponses(t *testing.T) {
+	for _, text := range []string{
+		"SMTP 200\r\n\r\n", "HTTP/1.1 abc\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", string(make([]byte, maxHead+1)),
+	} {
+		if _, used, need, err := ParseResponse([]byte(text)); err == nil {
+			t.Errorf("%.60q: used %d, need %d", text, used, need)
+		}
+	}
+	if _, err := Decode([]byte(`{"no":`)); err == nil {
+		t.Error("broken JSON taken")
+	}
+}
--- /dev/null
+++ b/internal/protocol/resp/resp_test.go
@@ -0,0 +1,43 @@
+package resp
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestAnswerInAnyPieces(t *testing.T) {
+	b := AppendHead(nil, 4)
+	for _, w := range []string{"9b1f03aa5c7e2d41", "OK", "n=local,since=1764576000123", "a\r\nb"} {
+		b = AppendBulk(b, w)
+	}
+	whole := len(b)
+	b = append(b, b...)
+	for n := range whole {
+		if _, used, need, err := Parse(b[:n], nil); used != 0 || err != nil || need <= n || need > whole {
+			t.Fatalf("%d bytes: used %d, need %d, %v", n, used, need, err)
+		}
+	}
+	w, used, _, err := Parse(b, nil)
+	if err != nil || used != whole || len(w) != 4 || string(w[3]) != "a\r\nb" {
+		t.Fatalf("used %d, %v, %q", used, err, w)
+	}
+}
+
+func TestMalformedAnswers(t *testing.T) {
+	for _, s := range []string{"+OK\r\n", "*9\r\n", "*-1\r\n", "*x\r\n", "*\r\n", "*1\n", "*1\r\n$240001\r\n",
+		"*1\r\n$1\r\nabc", "*1\r\n:5\r\n", "*" + strings.Repeat("0", 40)} {
+		if _, used, need, err := Parse([]byte(s), nil); err == nil {
+			t.Errorf("%q: used %d, need %d", s, used, need)
+		}
+	}
+	stop := errors.New("stop")
+	for in, want := range map[string]bool{"-": true, "": true, "a=1,b=": true, "a": false, "=1": false, "a=1,": false} {
+		if err := Fields([]byte(in), func(_, _ []byte) error { return nil }); (err == nil) != want {
+			t.Errorf("fields %q: %v", in, err)
+		}
+	}
+	if err := Fields([]byte("a=1"), func(_, _ []byte) error { return stop }); !errors.Is(err, stop) {
+		t.Error("a field that was turned down went through")
+	}
+}
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -102,6 +102,7 @@
 	retired   bool
 	dialedAt  time.Duration
 	idleSince time.Duration
+	quiet     time.Duration       // since when it owes an answer and has sent nothing; 0: it is not quiet
 	open      map[string]*attempt // by request id
 	partial   *attempt            // of which the system has not taken all yet
 }
@@ -109,7 +110,7 @@
 // pick is the link with the fewest attempts among those that can take one of this request.
 func (h *host) pick(q *request) (best *link) {
 	for _, l := range h.links {
-		if l.up && !l.retired && len(l.open) < h.director.limits.Streams && l.conn.Drained() &&
+		if l.up && !l.retired && !l.silent() && len(l.open) < h.director.limits.Streams && l.conn.Drained() &&
 			!slices.Contains(q.spoiled, l) && (best == nil || len(l.open) < len(best.open)) {
 			best = l
 		}
@@ -117,6 +118,12 @@
 	return best
 }
 
+// silent tells whether the machine behind the link may have vanished, which gives no sign. What is sent into such a
+// link is lost until its time is over, while a new connection that does not come up proves soon that nothing ran.
+func (l *link) silent() bool {
+	return l.quiet > 0 && l.host.director.loop.Now()-l.quiet >= l.host.director.limits.SilentAfter
+}
+
 // dialMore opens links until those that are coming up can take all that wait.
 func (h *host) dialMore() {
 	d := h.director
@@ -125,7 +132,7 @@
 		if !l.up {
 			coming++
 		}
-		if !l.retired {
+		if !l.retired && !l.silent() {
 			usable++
 		}
 	}
@@ -147,7 +154,7 @@
 
 // refuseWaiting ends the attempts that wait when no link is left that could take them: none has run.
 func (h *host) refuseWaiting() {
-	if slices.ContainsFunc(h.links, func(l *link) bool { return !l.retired }) {
+	if slices.ContainsFunc(h.links, func(l *link) bool { return !l.retired && !l.silent() }) {
 		return
 	}
 	for _, a := range slices.Clone(h.waiting) {
@@ -176,7 +183,7 @@
 func (h *host) closeIdle(now time.Duration) {
 	for _, l := range slices.Clone(h.links) {
 		if l.up && len(l.open) == 0 &&
-			(l.retired || h.Readiness == stairvane.Gone || now-l.idleSince >= h.director.limits.IdleAfter) {
+			(l.retired || l.silent() || h.Readiness == stairvane.Gone || now-l.idleSince >= h.director.limits.IdleAfter) {
 			l.drop()
 		}
 	}
@@ -218,6 +225,7 @@
 // Reply implements LinkEvents.
 func (l *link) Reply(id []byte, r *Reply) {
 	d := l.host.director
+	l.quiet = 0
 	a := l.open[string(id)]
 	if a == nil {
 		d.Counts.LateReplies++
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -149,6 +149,9 @@
 	a.sentAt, a.link = now, l
 	l.open[q.ID] = a
 	l.idleSince = now
+	if l.quiet == 0 {
+		l.quiet = now
+	}
 	l.conn.Send(&o)
 	if a.whole = l.conn.Drained(); !a.whole {
 		l.partial = a
@@ -211,6 +214,10 @@
 	l := a.link
 	d.Counts.Undone++
 	delete(l.open, a.req.ID)
+	l.idleSince = d.loop.Now()
+	if len(l.open) == 0 && !l.silent() {
+		l.quiet = 0 // it owes nothing any more
+	}
 	if l.partial == a {
 		l.partial = nil
 	}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -64,8 +64,7 @@
 	Send(o *Order)
 	Undo(id string)
 	Drained() bool // the system has taken all that was written
-	LastIn() time.Duration
-	Close() // no event follows
+	Close()        // no event follows
 }
 
 // LinkEvents is told what happens on a link; none of it happens during a call of Dialer or Link.
@@ -94,6 +93,7 @@
 	Streams       int           // attempts on one link at a time
 	LinksPerHost  int           // at most
 	IdleAfter     time.Duration // after which an unused link is closed
+	SilentAfter   time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
 	DialTimeout   time.Duration
 	MaxAttempts   int
 	DrainGrace    time.Duration
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -41,7 +41,6 @@
 	out     [][]byte
 	outHead int // bytes of out[0] already written
 	outSize int
-	lastIn  time.Duration
 	lastUse time.Duration
 	dial    Timer
 }
@@ -72,7 +71,7 @@
 
 func (l *Loop) open(fd int, events uint32, h Handler) (*Conn, error) {
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	c := &Conn{loop: l, fd: fd, handler: h, watched: events, lastIn: l.now, lastUse: l.now}
+	c := &Conn{loop: l, fd: fd, handler: h, watched: events, lastUse: l.now}
 	if err := l.add(fd, events, c); err != nil {
 		unix.Close(fd)
 		return nil, err
@@ -90,15 +89,9 @@
 // LastUse is when bytes last went either way.
 func (c *Conn) LastUse() time.Duration { return c.lastUse }
 
-// LastIn is when bytes last came in.
-func (c *Conn) LastIn() time.Duration { return c.lastIn }
-
 // Queued is how many bytes wait for the peer to take them.
 func (c *Conn) Queued() int { return c.outSize }
 
-// Buffered is how many bytes have come in that make no whole message yet.
-func (c *Conn) Buffered() int { return len(c.in) }
-
 // Write sends the parts in order and copies what the system does not take at once. It reports failures through
 // Closed, never from within the call.
 func (c *Conn) Write(parts ...[]byte) {
@@ -247,7 +240,7 @@
 	}
 	c.dialing = false
 	c.dial.Stop()
-	c.lastIn, c.lastUse = c.loop.now, c.loop.now
+	c.lastUse = c.loop.now
 	c.watch()
 	c.handler.Opened()
 	if !c.closed && c.outSize > 0 {
@@ -307,7 +300,7 @@
 			c.fail(io.EOF)
 			return
 		}
-		c.lastIn, c.lastUse = c.loop.now, c.loop.now
+		c.lastUse = c.loop.now
 		data := space[:n]
 		if len(c.in) > 0 {
 			c.in = c.in[:len(c.in)+n]
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -149,7 +149,7 @@
 	}
 	settings, _, err := ParseSettings(f.rest)
 	if err != nil {
-		return err
+		return fmt.Errorf("up: %w", err)
 	}
 	r := stairvane.NewRouter(settings, seed)
 	s.instances[slot] = r
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,7 +20,7 @@
 	for _, w := range words {
 		key, value, found := strings.Cut(w, "=")
 		if !found || key == "" {
-			return nil, fmt.Errorf("up: field Options: %q is not path=value", w)
+			return nil, fmt.Errorf("field Options: %q is not path=value", w)
 		}
 		p.values[key] = value
 	}
@@ -29,7 +29,7 @@
 
 func (p *pairs) fail(key, problem string) {
 	if p.err == nil {
-		p.err = fmt.Errorf("up: setting %s: %s", key, problem)
+		p.err = fmt.Errorf("setting %s: %s", key, problem)
 	}
 }
 
