Bound memory under clients that do not read; hold keyed repeats to their window when sent

Seen by reading: (1) answers that a client does not take were bounded for each connection only; 32 requests of 240 KB on a hundred connections come to far more than 192 MB. front.go now closes the client that has left the most untaken when all together pass a sixth of the memory, and one that takes nothing for 10 s; bodies of open requests have an eighth. (2) A repeat of a keyed request is decided inside the de-duplication window, but may wait 400 ms for a connection and be written after it: requests.go, stale, now looks again. (3) The heartbeat was good while only the origin or a hub was listed: Ready now counts caches of the own location. (4) On the way out a request that crosses the close is left to the client, for its answer could not be written; taking in lasts 0.7 s, as long as requests may count.

--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,14 +20,14 @@
 )
 
 const (
-	clientStreams = 32      // requests open on one connection
-	clientQueue   = 4 << 20 // bytes that a client may leave untaken before it is read no further
-	totalQueue    = 32 << 20
+	clientStreams = 32               // requests open on one connection
+	clientQueue   = 4 << 20          // bytes that a client may leave untaken before it is read no further
+	stuckAfter    = 10 * time.Second // without a byte taken; longer than any deadline
 )
 
 // FrontCounts is what the front has seen.
 type FrontCounts struct {
-	Connections, Turned, Malformed, Unserved, Heartbeats int64
+	Connections, Turned, Malformed, Unserved, Heartbeats, Stuck int64
 }
 
 // front accepts clients and turns their calls into requests.
@@ -37,6 +39,9 @@
 	clients  map[*client]struct{}
 	most     int
 	idle     time.Duration
+	queueMax int // bytes of answers that clients together may leave untaken
+	bodyMax  int // bytes of requests' bodies held
+	bodies   int
 	leaving  bool // on the way out: not admitted any more
 	closing  bool // no more requests are expected
 	call     thrift.Call
@@ -45,8 +50,9 @@
 	sweep    transport.Timer
 }
 
-func newFront(loop *transport.Loop, d *routing.Director, listen netip.AddrPort, most int, idle time.Duration) (*front, error) {
-	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle}
+func newFront(loop *transport.Loop, d *routing.Director, listen netip.AddrPort, most int, idle time.Duration, memory int) (*front, error) {
+	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle,
+		queueMax: memory / 6, bodyMax: memory / 8}
 	var err error
 	f.listener, err = loop.Listen(listen, func() transport.Handler { return &client{front: f, open: map[int32]*routing.Request{}} },
 		func(c *transport.Conn, h transport.Handler) { f.admit(c, h.(*client)) })
@@ -76,13 +82,33 @@
 	now := f.loop.Now()
 	f.loop.Set(&f.sweep, now+time.Second)
 	for c := range f.clients {
-		if len(c.open) == 0 && now-c.conn.LastUse() >= f.idle {
+		switch unused := now - c.conn.LastUse(); {
+		case c.conn.Queued() > 0 && unused >= stuckAfter:
+			c.dropStuck()
+		case len(c.open) == 0 && c.conn.Queued() == 0 && unused >= f.idle:
 			delete(f.clients, c)
 			c.conn.Close()
 		}
 	}
 }
 
+// makeRoom keeps memory within its bound when clients do not take their answers: the one that has left the most
+// untaken is closed. It can tell that its answers are not whole, and the others are served on.
+func (f *front) makeRoom() {
+	for f.loop.Queued() > f.queueMax {
+		var worst *client
+		for c := range f.clients {
+			if worst == nil || c.conn.Queued() > worst.conn.Queued() {
+				worst = c
+			}
+		}
+		if worst == nil || worst.conn.Queued() == 0 {
+			return
+		}
+		worst.dropStuck()
+	}
+}
+
 // finish ends the taking in: what has come is answered, then its connection is closed.
 func (f *front) finish() {
 	f.closing = true
@@ -97,6 +123,7 @@
 	front *front
 	conn  *transport.Conn
 	open  map[int32]*routing.Request // by sequence number
+	ended bool                       // nothing more is taken from it
 }
 
 // Opened implements transport.Handler.
@@ -107,7 +134,7 @@
 
 // flow stops reading from a client that does not take its answers and goes on when it has.
 func (c *client) flow() {
-	stop := c.conn.Queued() > clientQueue || c.front.loop.Queued() > totalQueue && c.conn.Queued() > 0
+	stop := c.conn.Queued() > clientQueue
 	if stop != c.conn.Paused() {
 		if stop {
 			c.conn.Pause()
@@ -119,21 +146,36 @@
 
 // Closed implements transport.Handler.
 func (c *client) Closed(err error) {
-	delete(c.front.clients, c)
 	if len(c.open) > 0 && !errors.Is(err, io.EOF) {
 		log.Printf("client gone with %d requests open: %v", len(c.open), err)
 	}
-	open := c.open
-	c.open = nil
-	for _, r := range open {
+	c.abandon()
+}
+
+// abandon gives up what is open for a client that can't be answered any more.
+func (c *client) abandon() {
+	c.ended = true
+	delete(c.front.clients, c)
+	for _, r := range slices.Collect(maps.Values(c.open)) {
+		c.answered(r)
 		c.front.director.Revoke(r)
 	}
 }
 
+func (c *client) dropStuck() {
+	c.front.Counts.Stuck++
+	log.Printf("client takes no answers: closed with %d bytes queued and %d requests open", c.conn.Queued(), len(c.open))
+	c.conn.Close()
+	c.abandon()
+}
+
 // Data implements transport.Handler.
 func (c *client) Data(b []byte) (used, need int, err error) {
 	call := &c.front.call
-	for c.open != nil {
+	for {
+		if c.ended { // what crosses the close is the client's to send again; its answer could not be written
+			return len(b), 0, nil
+		}
 		n, need, err := thrift.Parse(b[used:], call)
 		if err != nil {
 			c.front.Counts.Malformed++
@@ -150,7 +192,6 @@
 			return used, 0, err
 		}
 	}
-	return used, 0, nil
 }
 
 func (c *client) handle(call *thrift.Call) error {
@@ -159,7 +200,7 @@
 		return c.submit(call)
 	case thrift.Revoke:
 		if r := c.open[call.Target]; r != nil {
-			delete(c.open, call.Target)
+			c.answered(r)
 			c.front.director.Revoke(r)
 			c.closeIfDone()
 		}
@@ -181,7 +222,8 @@
 	if c.open[call.Seq] != nil {
 		return fmt.Errorf("sequence number %d is open already", call.Seq)
 	}
-	if len(c.open) >= clientStreams { // one too many is no reason to lose the others with the connection
+	// One too many is no reason to lose the others with the connection; nor are more bodies than memory has room for.
+	if len(c.open) >= clientStreams || c.front.bodies+len(call.Body) > c.front.bodyMax {
 		c.front.Counts.Unserved++
 		c.conn.Write(thrift.AppendRefused(nil, call.Seq))
 		return nil
@@ -195,6 +237,7 @@
 	}
 	r.Caller, r.Ref = c, call.Seq
 	c.open[call.Seq] = r
+	c.front.bodies += len(r.Body)
 	c.front.director.Submit(r)
 	return nil
 }
@@ -280,8 +323,11 @@
 	return int(n), err
 }
 
-// answered forgets a request that gets its answer now.
-func (c *client) answered(r *routing.Request) { delete(c.open, r.Ref) }
+// answered forgets a request that gets its answer now, or is owed none any more.
+func (c *client) answered(r *routing.Request) {
+	delete(c.open, r.Ref)
+	c.front.bodies -= len(r.Body)
+}
 
 // Serve implements routing.Caller.
 func (c *client) Serve(r *routing.Request, body []byte) { c.answer(r, body) }
@@ -322,10 +368,12 @@
 func (c *client) afterAnswer() {
 	c.flow()
 	c.closeIfDone()
+	c.front.makeRoom()
 }
 
 func (c *client) closeIfDone() {
 	if c.front.closing && len(c.open) == 0 {
+		c.ended = true
 		c.conn.CloseAfterFlush()
 	}
 }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -14,7 +14,7 @@
 const (
 	// After SIGTERM new connections keep coming for up to 0.4 s and requests on open ones for 0.2 s more; what comes
 	// later than 0.7 s is lost if it is not answered.
-	stillTaking = 650 * time.Millisecond
+	stillTaking = 700 * time.Millisecond
 	lastBytes   = 500 * time.Millisecond // for clients to read their last answers and close
 	leavePoll   = 5 * time.Millisecond
 	silentAfter = time.Second // longer than a transfer usually takes; being wrong costs one more connection
@@ -73,7 +73,7 @@
 	d.Start()
 	p.feed = newFeed(loop, d, c.Bulletin)
 	p.feed.take(c.Known)
-	if p.front, err = newFront(loop, d, c.Listen, clients, idle); err != nil {
+	if p.front, err = newFront(loop, d, c.Listen, clients, idle, c.MemoryMB<<20); err != nil {
 		return nil, err
 	}
 	p.feed.connect()
--- a/internal/program/stories_test.go
+++ b/internal/program/stories_test.go
@@ -194,6 +194,34 @@
 	client.want(2, 0, "x")
 }
 
+// Clients that take no answers must not fill the memory: the worst of them is closed, the others are served on.
+func TestStuckClientIsClosedWhenMemoryRunsShort(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	w.p.Post(func() { w.p.front.queueMax = 1 << 20 })
+	stuck, client := w.client(), w.client()
+	stuck.submit(ridA, objA)
+	box := c.accept()
+	box.order()
+	body := strings.Repeat("x", 240_000)
+	for i := range 31 {
+		stuck.submit(fmt.Sprintf("%016x", i), objA)
+		box.order()
+	}
+	for i := range 31 { // 7 MB, more than the sockets between hold
+		box.answer(fmt.Sprintf("%016x", i), "OK", "n=local", body)
+	}
+	for w := box.words(); w[1] != ridA; w = box.words() { // what was open for it is given up
+		if w[0] != "undo" {
+			t.Fatalf("want undo, got %q", w)
+		}
+	}
+	client.submit(ridB, objB)
+	box.order()
+	box.answer(ridB, "OK", "n=local", body)
+	client.want(1, 0, body)
+}
+
 // After the order to leave, connections that still come are served, all that is open is answered, then it ends.
 func TestLeavesWhenAllIsAnswered(t *testing.T) {
 	c := newCache(t)
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -16,8 +16,8 @@
 	module  *stairvane.Router
 	dialer  Dialer
 	limits  Limits
-	fresh   map[string]time.Duration // by class: the oldest that a copy may be; absent: any age
-	keeps   map[string]bool          // classes whose answers are copies
+	classes map[string]class
+	serves  func(Member) bool // whether clients can be served from a host
 	hosts   map[stairvane.HostID]*host
 	byName  map[string]*host
 	known   map[stairvane.RequestID]*request
@@ -32,20 +32,35 @@
 // upkeepEvery paces the closing of idle links and the forgetting of purges.
 const upkeepEvery = 500 * time.Millisecond
 
+// class is what the guards need to know of a class.
+type class struct {
+	keeps        bool          // its answers are copies
+	oldest       time.Duration // that a copy may be; 0: any age
+	resendWithin time.Duration // of the first attempt that may have run; 0: the module's decision alone
+}
+
 // New makes a director. Start begins its life.
 func New(loop *transport.Loop, s stairvane.Settings, seed uint64, limits Limits, dialer Dialer) *Director {
 	d := &Director{
 		loop: loop, module: stairvane.NewRouter(s, seed), dialer: dialer, limits: limits,
-		fresh: map[string]time.Duration{}, keeps: map[string]bool{},
-		hosts: map[stairvane.HostID]*host{}, byName: map[string]*host{},
+		classes: map[string]class{},
+		hosts:   map[stairvane.HostID]*host{}, byName: map[string]*host{},
 		known:  map[stairvane.RequestID]*request{},
 		purges: newPurges(),
 	}
 	for _, c := range s.Classes {
-		d.keeps[c.Name] = !c.Uncacheable
+		k := class{keeps: !c.Uncacheable}
 		if c.Fresh > 0 {
-			d.fresh[c.Name] = c.Fresh + c.StaleExtra
+			k.oldest = c.Fresh + c.StaleExtra
 		}
+		if c.Effect == stairvane.Keyed {
+			k.resendWithin = c.DedupWindow
+		}
+		d.classes[c.Name] = k
+	}
+	d.serves = func(m Member) bool {
+		parent := s.ParentKind >= 0 && s.ParentKind < len(s.Kinds) && m.Kind == s.Kinds[s.ParentKind]
+		return m.Readiness == stairvane.Ready && m.Zone == s.Zone && !parent
 	}
 	d.upkeep.Fire = d.tidy
 	return d
@@ -62,10 +77,10 @@
 // Open is how many requests are owed an answer.
 func (d *Director) Open() int { return d.open }
 
-// Ready tells whether there is a cache that could be asked.
+// Ready tells whether there is a cache that clients could be served from. Parents and the origin alone are none.
 func (d *Director) Ready() bool {
 	for _, h := range d.hosts {
-		if h.Readiness == stairvane.Ready {
+		if d.serves(h.Member) {
 			return true
 		}
 	}
--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// A keyed request may be sent again only while a repeat is dropped; waiting for a connection may outlast that.
+func TestWaitingRepeatIsNotSentAfterItsWindow(t *testing.T) {
+	d, s, c := scripted(t, none, "a")
+	d.classes["clips"] = class{resendWithin: time.Nanosecond}
+	d.Submit(ask(c, "r1"))
+	s.links[0].ev.Up()
+	s.links[0].ev.Down(errors.New("reset")) // it may have run; the module decides to repeat it
+	if len(s.links) != 2 {
+		t.Fatalf("%d links", len(s.links))
+	}
+	s.links[1].ev.Up()
+	if n := len(s.links[1].orders); n != 0 {
+		t.Fatalf("%d repeats sent", n)
+	}
+}
+
 // A purge too new to bind must not hide an older one that does.
 func TestEveryPurgeIsHeld(t *testing.T) {
 	p := newPurges()
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -15,6 +15,7 @@
 	key      stairvane.RequestID
 	deadline time.Duration
 	answered bool
+	ranAt    time.Duration // when the first attempt that may have run was sent; 0: none has
 	out      int
 	attempts []*attempt
 	spoiled  []*link // on which an undone attempt may still be answered
@@ -142,7 +143,7 @@
 	if a.source != nil {
 		o.Source = a.source.Name
 	}
-	if d.keeps[q.Class] {
+	if d.classes[q.Class].keeps {
 		o.Have = q.Have
 	}
 	d.Counts.Attempts++
@@ -171,6 +172,8 @@
 		return "the source drains or is gone"
 	case now > a.decidedAt && d.purges.toldSince(a.req, a.decidedAt):
 		return "its age cap is from before a purge"
+	case a.req.ranAt > 0 && d.classes[a.req.Class].resendWithin > 0 && now-a.req.ranAt >= d.classes[a.req.Class].resendWithin:
+		return "a repeat would not be dropped any more"
 	}
 	return ""
 }
@@ -245,6 +248,9 @@
 		a.host.waiting = slices.DeleteFunc(a.host.waiting, func(w *attempt) bool { return w == a })
 	}
 	status := r.Status
+	if a.whole && q.ranAt == 0 && mayHaveRun(status) {
+		q.ranAt = a.sentAt
+	}
 	if status == stairvane.OK && !q.answered {
 		if why := d.unfitCopy(a, r); why != "" {
 			d.Counts.Withheld++
@@ -259,6 +265,15 @@
 		Status: status, Elapsed: d.loop.Now() - a.decidedAt, Report: r.Report})
 }
 
+// mayHaveRun tells whether an end leaves open that the attempt has run.
+func mayHaveRun(s stairvane.Status) bool {
+	switch s {
+	case stairvane.Full, stairvane.ConnectFailed, stairvane.Moot, stairvane.Miss:
+		return false
+	}
+	return true
+}
+
 func (d *Director) serve(q *request, r *Reply) {
 	d.conclude(q)
 	if r.Same {
@@ -280,13 +295,14 @@
 	if r.Same && q.Have == "" {
 		return "it speaks of a copy that the client does not hold"
 	}
-	if r.Since == 0 || !d.keeps[q.Class] {
+	k := d.classes[q.Class]
+	if r.Since == 0 || !k.keeps {
 		return ""
 	}
 	if d.purges.bind(q, r.Since, a.sentAt-d.limits.PurgeGrace) {
 		return "the copy is from before a purge"
 	}
-	if most := d.fresh[q.Class]; most > 0 && a.sentAt-r.Since > most+ageSlack {
+	if k.oldest > 0 && a.sentAt-r.Since > k.oldest+ageSlack {
 		return "the copy is too old"
 	}
 	return ""
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -98,12 +98,12 @@
 	if c.closed || c.fin {
 		return
 	}
-	c.lastUse = c.loop.now
 	written := 0
 	if c.outSize == 0 && !c.dialing {
 		n, err := unix.Writev(c.fd, parts)
 		if n > 0 {
 			written = n
+			c.lastUse = c.loop.now
 		}
 		if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
 			// The poll that follows reports the broken connection; the rest is kept until then.
