--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -86,8 +86,12 @@
 
 // Run serves until the program has left.
 func (p *Program) Run() error {
-	log.Printf("%s serves", p.name)
-	err := p.loop.Run()
+	addr, err := p.Addr()
+	if err != nil {
+		return err
+	}
+	log.Printf("%s serves on %s", p.name, addr)
+	err = p.loop.Run()
 	p.PrintCounts()
 	return err
 }
--- a/internal/routing/purges.go
+++ b/internal/routing/purges.go
@@ -41,9 +41,10 @@
 }
 
 // bind tells whether a purge that was told before a time voids a copy given out at since. Every purge is held, not
-// just the last: one too new to bind must not hide one that does.
+// just the last: one too new to bind must not hide one that does. Both times are whole milliseconds, so a copy of the
+// purge's own millisecond may be the older; the module's age cap asks for a later one, too.
 func (p *purges) bind(q *request, since, toldBefore time.Duration) bool {
-	return p.any(q, func(x purge) bool { return x.told < toldBefore && since < x.issued })
+	return p.any(q, func(x purge) bool { return x.told < toldBefore && since <= x.issued })
 }
 
 // toldSince tells whether a purge of the request's object has been told after a time.
