Take a host's number from its name, as on the simulator's wire

At fault: number in hosts.go hashed the name anew, so that each object had another cache than on the simulator's wire. Ruled out: time in the program (76 to 256 us a way), lost links, the windows (same counts of full answers). Names without a number are still hashed.

--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -228,6 +228,17 @@
 	}
 }
 
+// Objects are placed by the host's number; hashing the name instead placed them otherwise than the simulator does.
+func TestHostNumbersComeFromTheNames(t *testing.T) {
+	d, _, _ := scripted(t, none, "s-00c41f7a", "depot-seven", "t-00c41f7a")
+	if d.byName["s-00c41f7a"].Host != 0x00c41f7a && d.byName["t-00c41f7a"].Host != 0x00c41f7a {
+		t.Error("the number that a name carries is not used")
+	}
+	if len(d.hosts) != 3 || d.byName["depot-seven"].Host == 0 {
+		t.Errorf("%d hosts, depot-seven is %d", len(d.hosts), d.byName["depot-seven"].Host)
+	}
+}
+
 // A new process behind an old name: links from before its start lead nowhere, later ones are good.
 func TestRestartedHostGetsNewLinks(t *testing.T) {
 	d, s, c := scripted(t, none, "a")
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -5,6 +5,7 @@
 	"log"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"stairvane.org/stairvane"
@@ -54,9 +55,15 @@
 	d.feed(t)
 }
 
-// number gives a host its number for the module. All directors must hash objects to the same caches, so it comes
-// from the name alone.
+// number gives a host its number for the module. All directors must place objects on the same caches, so it comes
+// from the name alone: the number in hex that ends it, as in s-00c41f7a, or else a hash. The first keeps the
+// placement what it is on the simulator's wire, which calls the same host by that number.
 func (d *Director) number(name string) stairvane.HostID {
+	if _, digits, found := strings.Cut(name, "-"); found && len(digits) == 8 {
+		if n, err := strconv.ParseUint(digits, 16, 32); err == nil && d.hosts[stairvane.HostID(n)] == nil {
+			return stairvane.HostID(n)
+		}
+	}
 	for salt := 0; ; salt++ {
 		sum := fnv.New32a()
 		sum.Write([]byte(name))
@@ -64,11 +71,11 @@
 			sum.Write([]byte(strconv.Itoa(salt)))
 		}
 		id := stairvane.HostID(sum.Sum32())
-		if other := d.hosts[id]; other == nil {
+		other := d.hosts[id]
+		if other == nil {
 			return id
-		} else {
-			log.Printf("hosts %s and %s share the number %d: salted", name, other.Name, id)
 		}
+		log.Printf("hosts %s and %s share the number %d: salted", name, other.Name, id)
 	}
 }
 
