--- a/internal/protocol/bulletin/bulletin_test.go
+++ b/internal/protocol/bulletin/bulletin_test.go
@@ -38,3 +38,13 @@
 		t.Error("broken JSON taken")
 	}
 }
+
+func FuzzParseResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, used, need, err := ParseResponse(b); used > len(b) || err == nil && used == 0 && need <= len(b) {
+			t.Errorf("used %d, need %d of %d", used, need, len(b))
+		}
+	})
+}
--- a/internal/protocol/resp/resp_test.go
+++ b/internal/protocol/resp/resp_test.go
@@ -41,3 +41,12 @@
 		t.Error("a field that was turned down went through")
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("*2\r\n$1\r\na\r\n$2\r\nUP\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, used, need, err := Parse(b, nil); used > len(b) || err == nil && used == 0 && need <= len(b) {
+			t.Errorf("used %d, need %d of %d", used, need, len(b))
+		}
+	})
+}
--- a/internal/protocol/thrift/thrift_test.go
+++ b/internal/protocol/thrift/thrift_test.go
@@ -87,3 +87,13 @@
 		t.Fatalf("used %d, %v, %+v", used, err, c)
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	f.Add(submitFrame([][2]string{{"rid", "9b1f03aa5c7e2d41"}}, "abc"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var c Call
+		if used, need, err := Parse(b, &c); used > len(b) || err == nil && used == 0 && need <= len(b) {
+			t.Errorf("used %d, need %d of %d", used, need, len(b))
+		}
+	})
+}
