Follow SIGHUP: reread the configuration and move the feed to the new bulletin

Lines at fault: cmd/stairvane/main.go caught SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP had its default. Now: signals are caught before the configuration is read; SIGHUP reads the file through the same checks, off the loop; the feed closes the old bulletin, calls the new one and goes on after the last event; a faulty file is logged by key and changes nothing; keys that can't change alive are named in the log.

--- a/cmd/stairvane/main.go
+++ b/cmd/stairvane/main.go
@@ -1,5 +1,5 @@
 // Command stairvane is one director on sockets. LB_CONFIG, LB_LISTEN and LB_NAME tell it what it is; SIGTERM lets it
-// answer what it has and leave; SIGUSR1 prints its counters.
+// answer what it has and leave; SIGHUP has it read LB_CONFIG anew; SIGUSR1 prints its counters.
 package main
 
 import (
@@ -31,6 +31,9 @@
 }
 
 func run() error {
+	// Signals are caught before anything else: the default of SIGHUP would end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	c, err := config.Load()
 	if err != nil {
 		return err
@@ -42,16 +45,27 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				p.Post(p.PrintCounts)
-			} else {
+			case syscall.SIGHUP:
+				reload(p)
+			default:
 				p.Post(p.Leave)
 			}
 		}
 	}()
 	return p.Run()
 }
+
+// reload reads the configuration off the loop. A faulty file leaves the running one in force.
+func reload(p *program.Program) {
+	c, err := config.Load()
+	if err != nil {
+		log.Printf("not reloaded, the running configuration stays: %v", err)
+		return
+	}
+	p.Post(func() { p.Reload(c) })
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"stairvane.org/stairvane"
@@ -104,6 +105,26 @@
 	return c, nil
 }
 
+// Differs names the keys, other than the bulletin's address, in which a configuration differs from another in a way
+// that a running director can't follow. The seed and the events of the start are new with each start anyway.
+func (c Config) Differs(o Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == o.Name},
+		{"listen", c.Listen == o.Listen},
+		{"limits.memory_mb", c.MemoryMB == o.MemoryMB},
+		{"limits.sockets", c.Sockets == o.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, o.Settings) && reflect.DeepEqual(c.Pools, o.Pools)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 func bounded(key string, v *float64, normal, least int) (int, error) {
 	if v == nil {
 		return normal, nil
--- a/internal/program/feed.go
+++ b/internal/program/feed.go
@@ -55,6 +55,21 @@
 	f.conn = conn
 }
 
+// move follows the bulletin at another address, from the last event on. The old one tells nothing more, though it may
+// keep its connection open for a while.
+func (f *feed) move(addr netip.AddrPort) {
+	if addr == f.addr {
+		return
+	}
+	log.Printf("bulletin moves from %s to %s after event %d", f.addr, addr, f.last)
+	f.addr, f.retry = addr, feedRetryMin
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	f.connect()
+}
+
 func (f *feed) lost(err error) {
 	if f.conn != nil {
 		f.conn.Close()
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -33,7 +33,7 @@
 	director *routing.Director
 	front    *front
 	feed     *feed
-	name     string
+	config   config.Config // of the start
 	leave    transport.Timer
 	emptyAt  time.Duration
 }
@@ -69,7 +69,7 @@
 
 	links := &caches{loop: loop, report: reportMap(c.Pools.Reports)}
 	d := routing.New(loop, s, c.Seed, limits, links)
-	p := &Program{loop: loop, director: d, name: c.Name}
+	p := &Program{loop: loop, director: d, config: c}
 	d.Start()
 	p.feed = newFeed(loop, d, c.Bulletin)
 	p.feed.take(c.Known)
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	log.Printf("%s serves on %s", p.name, addr)
+	log.Printf("%s serves on %s", p.config.Name, addr)
 	err = p.loop.Run()
 	p.PrintCounts()
 	return err
@@ -99,6 +99,16 @@
 // Post runs f on the loop; it may be called from any goroutine.
 func (p *Program) Post(f func()) { p.loop.Post(f) }
 
+// Reload follows a configuration read anew. Only the bulletin's address can change while the process lives; what else
+// differs waits for the next start and is named in the log.
+func (p *Program) Reload(c config.Config) {
+	for _, key := range p.config.Differs(c) {
+		log.Printf("reloaded: %s has changed; the old value holds until the next start", key)
+	}
+	p.feed.move(c.Bulletin)
+	log.Print("reloaded")
+}
+
 // Leave begins the way out: it goes on taking what still comes, answers all, then ends Run.
 func (p *Program) Leave() {
 	if p.front.leaving {
