Ask again where an answer is lost: call overdue attempts off, look without joining

Checked by a temporary trace of attempts: from 27 s on about a quarter of the answers of five caches never came, on links that went on answering everything else; these attempts lay out to their deadline (1.3 to 3.1 s), each was judged late, and the windows of links and fills narrowed until nearly all was refused. A look at what a cache keeps joined fills that hung and was lost as well. Ruled out: links that are dead as a whole (tens of answers came on them meanwhile), the fetch from the origin, a lack of capacity. Lines at fault: router.go overdue() only blamed hosts and left the attempt out; send() set Join on looks as well. Now an attempt that is overdue by its size, the usual overhead and its aim is called off and asked again, at the same cache if that answers others, out of the budget for further attempts and not where the cache reports that it is strained. The undo and the next attempt go over two connections, which are read in any order; so the next attempt now waits for the answer to a ping behind the undo, and a link that gives none in 0.25 s is closed. Failed requests: front.go admit() turned new connections away while others were held unused for good; the one unused for longest now makes room.

--- a/internal/program/caches.go
+++ b/internal/program/caches.go
@@ -59,9 +59,14 @@
 func (l *cacheLink) Close() { l.conn.Close() }
 
 // Undo implements routing.Link.
-func (l *cacheLink) Undo(id string) {
+func (l *cacheLink) Undo(id string) { l.order("undo", id) }
+
+// Ping implements routing.Link.
+func (l *cacheLink) Ping(tag string) { l.order("ping", tag) }
+
+func (l *cacheLink) order(word, id string) {
 	b := resp.AppendHead(l.caches.buf[:0], 2)
-	b = resp.AppendBulk(b, "undo")
+	b = resp.AppendBulk(b, word)
 	b = resp.AppendBulk(b, id)
 	l.conn.Write(b)
 	l.caches.buf = b
@@ -139,6 +144,10 @@
 			return used, need, nil
 		}
 		used += n
+		if len(words) >= 2 && string(words[1]) == "UP" {
+			l.events.Pong(words[0])
+			continue
+		}
 		id, reply, err := c.reply(words)
 		if err != nil {
 			log.Printf("link to %s closed: %v", l.name, err)
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -13,12 +13,16 @@
 	"stairvane.org/stairvane/internal/transport"
 )
 
+// evictAfter is how long a connection may be without use before it may be closed to make room. A request takes less
+// to cross the network.
+const evictAfter = 300 * time.Millisecond
+
 // stuckAfter is how long a client may take no byte of what waits for it; longer than any deadline.
 const stuckAfter = 10 * time.Second
 
 // FrontCounts is what the front has seen.
 type FrontCounts struct {
-	Connections, Turned, Malformed, Unserved, Heartbeats, Stuck int64
+	Connections, Turned, Evicted, Malformed, Unserved, Heartbeats, Stuck int64
 }
 
 // front accepts clients and turns their calls into requests.
@@ -30,19 +34,21 @@
 	clients  map[*client]struct{}
 	most     int
 	idle     time.Duration
-	queueMax int // bytes of answers that clients together may leave untaken
-	bodyMax  int // bytes of requests' bodies held
-	bodies   int
-	leaving  bool // on the way out: not admitted any more
-	closing  bool // no more requests are expected
-	call     thrift.Call
-	head     []byte // reused by every answer
-	tail     []byte
-	sweep    transport.Timer
+
+	evictAfter time.Duration
+	queueMax   int // bytes of answers that clients together may leave untaken
+	bodyMax    int // bytes of requests' bodies held
+	bodies     int
+	leaving    bool // on the way out: not admitted any more
+	closing    bool // no more requests are expected
+	call       thrift.Call
+	head       []byte // reused by every answer
+	tail       []byte
+	sweep      transport.Timer
 }
 
 func newFront(loop *transport.Loop, d *routing.Director, listen netip.AddrPort, most int, idle time.Duration, memory int) (*front, error) {
-	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle,
+	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle, evictAfter: evictAfter,
 		queueMax: memory / 6, bodyMax: memory / 8}
 	var err error
 	f.listener, err = loop.Listen(listen, func() transport.Handler { return &client{front: f, open: map[int32]*routing.Request{}} },
@@ -57,8 +63,9 @@
 
 func (f *front) admit(conn *transport.Conn, c *client) {
 	c.conn = conn
-	// Descriptors are shared with the links to the caches: clients have their part and no more.
-	if len(f.clients) >= f.most {
+	// Descriptors are shared with the links to the caches: clients have their part and no more. Some ask once and hold
+	// their connection for good; the one that has been unused for longest makes room for whoever comes now.
+	if len(f.clients) >= f.most && !f.evict() {
 		f.Counts.Turned++
 		log.Printf("client turned away: %d connections are open", len(f.clients))
 		conn.Close()
@@ -68,6 +75,29 @@
 	f.clients[c] = struct{}{}
 }
 
+// evict closes the connection that has been without use for longest, if there is one: nobody is owed an answer on it.
+func (f *front) evict() bool {
+	var idlest *client
+	for c := range f.clients {
+		if c.idle() && (idlest == nil || c.conn.LastUse() < idlest.conn.LastUse()) {
+			idlest = c
+		}
+	}
+	if idlest == nil {
+		return false
+	}
+	f.Counts.Evicted++
+	delete(f.clients, idlest)
+	idlest.conn.Close()
+	return true
+}
+
+// idle tells whether a client has nothing open and nothing to take, and is past the time in which a new connection's
+// first request comes.
+func (c *client) idle() bool {
+	return len(c.open) == 0 && c.conn.Queued() == 0 && c.front.loop.Now()-c.conn.LastUse() >= c.front.evictAfter
+}
+
 // tidy closes connections that nobody uses.
 func (f *front) tidy() {
 	now := f.loop.Now()
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -98,12 +98,17 @@
 	return w
 }
 
-// order reads a command that must be do; it gives the id and the fields.
+// order reads the next order, past what is undone and pings; it gives the id and the fields.
 func (p *peer) order() (id string, fields map[string]string) {
 	p.t.Helper()
 	w := p.words()
-	if len(w) != 4 || w[0] != "do" {
-		p.t.Fatalf("an order expected, got %q", w)
+	for ; w[0] != "do"; w = p.words() {
+		if w[0] == "ping" {
+			p.answer(w[1], "UP")
+		}
+	}
+	if len(w) != 4 {
+		p.t.Fatalf("order %q", w)
 	}
 	fields = map[string]string{}
 	for pair := range strings.SplitSeq(w[2], ",") {
@@ -132,10 +137,10 @@
 	return frame(be32(0x80010000|kind) + str(name) + be32(int(p.seq)) + args + "\x00")
 }
 
-// submitText is a call of submit for an object; more holds further fields as name, value.
+// submitText is a call of submit for an object; more holds further fields as name, value, which go before the usual.
 func (p *peer) submitText(rid, object string, budget time.Duration, more ...string) string {
-	f := append([]string{"method", "clips", "rid", rid, "budget", fmt.Sprint(budget.Milliseconds()), "obj", object,
-		"part", "0", "group", "5", "mem", "100"}, more...)
+	f := append(more, "method", "clips", "rid", rid, "budget", fmt.Sprint(budget.Milliseconds()), "obj", object,
+		"part", "0", "group", "5", "mem", "100")
 	s := "\x0d\x00\x01\x0b\x0b" + be32(len(f)/2)
 	for _, word := range f {
 		s += str(word)
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -17,7 +17,8 @@
 	stillTaking = 700 * time.Millisecond
 	lastBytes   = 500 * time.Millisecond // for clients to read their last answers and close
 	leavePoll   = 5 * time.Millisecond
-	silentAfter = time.Second // longer than a transfer usually takes; being wrong costs one more connection
+	pongTimeout = 250 * time.Millisecond // far more than a working cache takes
+	silentAfter = time.Second            // longer than a transfer usually takes; being wrong costs one more connection
 
 	defaultStreams = 32
 	defaultIdle    = 15 * time.Second
@@ -46,7 +47,7 @@
 	}
 	s := c.Settings
 	limits := routing.Limits{
-		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout, MaxAttempts: s.MaxAttempts,
+		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout, PongTimeout: pongTimeout, MaxAttempts: s.MaxAttempts,
 		DrainGrace: s.DrainGrace, PurgeGrace: s.PurgeGrace, PurgeDone: s.PurgeDone, SecondCopies: s.SecondCopies,
 	}
 	for _, class := range s.Classes {
--- a/internal/program/stories_test.go
+++ b/internal/program/stories_test.go
@@ -223,12 +223,38 @@
 	client.want(1, 0, body)
 }
 
+// Clients that ask once and hold their connection for good make room for those who come; one that waits for its answer
+// does not.
+func TestUnusedConnectionMakesRoom(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	w.p.Post(func() { w.p.front.most, w.p.front.evictAfter = 2, 0 })
+	waiting, unused := w.client(), w.client()
+	waiting.submit(ridA, objA)
+	box := c.accept()
+	box.order()
+	unused.submit(ridB, objB)
+	id, _ := box.order()
+	box.answer(id, "OK", "n=local", "b")
+	unused.want(1, 0, "b")
+	late := w.client()
+	late.submit(ridC, objB)
+	id, _ = box.order()
+	box.answer(id, "OK", "n=local", "c")
+	late.want(1, 0, "c")
+	if _, err := unused.in.ReadByte(); err == nil {
+		t.Error("the unused connection is still open")
+	}
+	box.answer(ridA, "OK", "n=local", "a")
+	waiting.want(1, 0, "a")
+}
+
 // After the order to leave, connections that still come are served, all that is open is answered, then it ends.
 func TestLeavesWhenAllIsAnswered(t *testing.T) {
 	c := newCache(t)
 	w := newWorld(t, c.host("s-1", "in_service"))
 	client := w.client()
-	client.submit(ridA, objA)
+	client.submit(ridA, objA, "mem", "9000") // large, so that its answer is not overdue while this lasts
 	box := c.accept()
 	box.order()
 	w.p.Post(w.p.Leave)
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -26,6 +26,7 @@
 	events  []stairvane.Event
 	feeding bool
 	spare   []*alarm
+	pings   int64 // made so far
 	upkeep  transport.Timer
 }
 
--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -20,6 +20,7 @@
 	jams    bool // the next order gets stuck half way
 	orders  []Order
 	undone  []string
+	pinged  []string
 	closed  bool
 }
 
@@ -33,9 +34,10 @@
 	w.orders = append(w.orders, *o)
 	w.stuck = w.stuck || w.jams
 }
-func (w *wire) Undo(id string) { w.undone = append(w.undone, id) }
-func (w *wire) Drained() bool  { return !w.stuck }
-func (w *wire) Close()         { w.closed = true }
+func (w *wire) Undo(id string)  { w.undone = append(w.undone, id) }
+func (w *wire) Ping(tag string) { w.pinged = append(w.pinged, tag) }
+func (w *wire) Drained() bool   { return !w.stuck }
+func (w *wire) Close()          { w.closed = true }
 
 // caller notes the final answers.
 type caller struct{ got []string }
@@ -185,6 +187,35 @@
 	}
 }
 
+// Two connections are read in any order, so the successor of an undone attempt waits until the undo has been read:
+// both would be out otherwise. A link that answers no ping is closed, which gives the attempt up as well.
+func TestSuccessorWaitsUntilTheUndoIsRead(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		d, s, c := scripted(t, none, "a")
+		d.Submit(ask(c, "r1"))
+		old := s.links[0]
+		old.ev.Up()
+		d.Submit(ask(c, "r2"))
+		old.ev.Reply([]byte("r2"), &Reply{Status: stairvane.OK}) // it answers others, so the module asks it again
+		d.abort(stairvane.Abort{Request: "r1"})
+		if len(old.undone) != 1 || len(old.pinged) != 1 || len(s.links) != 1 {
+			t.Fatalf("undone %q, pinged %q, %d links", old.undone, old.pinged, len(s.links))
+		}
+		if answers {
+			old.ev.Pong([]byte(old.pinged[0]))
+		} else {
+			old.ev.(*link).dead()
+		}
+		if old.closed == answers || len(s.links) != 2 {
+			t.Fatalf("answers %t: closed %t, %d links", answers, old.closed, len(s.links))
+		}
+		s.links[1].ev.Up()
+		if len(s.links[1].orders) != 1 {
+			t.Error("the successor was not sent")
+		}
+	}
+}
+
 // An undo that can't be written leaves the attempt out: closing the link gives it up for certain.
 func TestUndoOnAStuckLinkClosesIt(t *testing.T) {
 	d, s, c := scripted(t, none, "a")
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -3,12 +3,14 @@
 import (
 	"hash/fnv"
 	"log"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/transport"
 )
 
 // host is one line of the list, with its links and the attempts that wait for one.
@@ -112,6 +114,8 @@
 	quiet     time.Duration       // since when it owes an answer and has sent nothing; 0: it is not quiet
 	open      map[string]*attempt // by request id
 	partial   *attempt            // of which the system has not taken all yet
+	pings     map[string]*attempt // by tag: attempts that wait until the other end has read the undo of their forerunner
+	pong      transport.Timer
 }
 
 // pick is the link with the fewest attempts among those that can take one of this request.
@@ -145,7 +149,8 @@
 	}
 	for coming*d.limits.Streams < len(h.waiting) && usable < d.limits.LinksPerHost {
 		now := d.loop.Now()
-		l := &link{host: h, dialedAt: now, idleSince: now, open: map[string]*attempt{}}
+		l := &link{host: h, dialedAt: now, idleSince: now, open: map[string]*attempt{}, pings: map[string]*attempt{}}
+		l.pong.Fire = l.dead
 		conn, err := d.dialer.Dial(h.Address, d.limits.DialTimeout, l)
 		if err != nil {
 			log.Printf("link to %s at %s: %v", h.Name, h.Address, err)
@@ -189,7 +194,7 @@
 // closeIdle closes links before the other end does, for what is sent into a closing one is lost.
 func (h *host) closeIdle(now time.Duration) {
 	for _, l := range slices.Clone(h.links) {
-		if l.up && len(l.open) == 0 &&
+		if l.up && len(l.open) == 0 && len(l.pings) == 0 &&
 			(l.retired || l.silent() || h.Readiness == stairvane.Gone || now-l.idleSince >= h.director.limits.IdleAfter) {
 			l.drop()
 		}
@@ -197,17 +202,19 @@
 }
 
 func (l *link) closeIfIdle() {
-	if len(l.open) == 0 {
+	if len(l.open) == 0 && len(l.pings) == 0 {
 		l.drop()
 	}
 }
 
 func (l *link) drop() {
 	l.conn.Close()
+	l.pings = nil
 	l.remove()
 }
 
 func (l *link) remove() {
+	l.pong.Stop()
 	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
 }
 
@@ -250,6 +257,42 @@
 	}
 }
 
+// ping has an attempt wait until the other end has read what was sent before. A link that does not even answer a ping
+// is of no further use to anyone on it.
+func (l *link) ping(a *attempt) {
+	d := l.host.director
+	d.pings++
+	tag := "p" + strconv.FormatInt(d.pings, 36) // no request's id, which is of hex digits alone
+	l.pings[tag] = a
+	l.conn.Ping(tag)
+	if !l.pong.Active() {
+		d.loop.Set(&l.pong, d.loop.Now()+d.limits.PongTimeout)
+	}
+}
+
+// Pong implements LinkEvents.
+func (l *link) Pong(tag []byte) {
+	a := l.pings[string(tag)]
+	if a == nil {
+		return
+	}
+	l.pong.Stop()
+	delete(l.pings, string(tag))
+	if len(l.pings) > 0 {
+		d := l.host.director
+		d.loop.Set(&l.pong, d.loop.Now()+d.limits.PongTimeout)
+	}
+	l.host.director.cleared(a)
+}
+
+// dead gives up a link that is open and silent.
+func (l *link) dead() {
+	l.host.director.Counts.LinksDead++
+	log.Printf("link to %s answers no ping: closed with %d attempts out", l.host.Name, len(l.open))
+	l.conn.Close()
+	l.lost()
+}
+
 // Down implements LinkEvents.
 func (l *link) Down(err error) {
 	d := l.host.director
@@ -280,6 +323,11 @@
 		d.count(status)
 		d.end(a, &Reply{Status: status})
 	}
+	pings := l.pings
+	l.pings = nil
+	for _, tag := range slices.Sorted(maps.Keys(pings)) { // closing has given up what the undo spoke of
+		d.cleared(pings[tag])
+	}
 	l.host.refuseWaiting()
 	if len(l.host.waiting) > 0 {
 		l.host.sendWaiting()
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -19,6 +19,7 @@
 	out      int
 	attempts []*attempt
 	spoiled  []*link // on which an undone attempt may still be answered
+	unread   []*link // whose other end may not have read an undo yet
 }
 
 // attempt is one order, waiting for a link or out on one.
@@ -33,6 +34,7 @@
 	link      *link // nil while it waits
 	whole     bool  // the system has taken all of it: from here on it may have run
 	ended     bool
+	uncleared int // pings that it waits for
 	timer     transport.Timer
 }
 
@@ -114,12 +116,36 @@
 	}
 	// Until it is written it may wait for a link, but no longer than a connection may take to come up.
 	d.loop.Set(&a.timer, min(a.decidedAt+d.limits.DialTimeout, q.deadline))
-	if l := h.pick(q); l != nil {
+	// Two connections are read in any order: an attempt sent at once might reach its cache before the undo of its
+	// forerunner reaches the other, and both would be out.
+	for _, l := range q.unread {
+		if l.pings != nil {
+			a.uncleared++
+			l.ping(a)
+		}
+	}
+	q.unread = nil
+	if a.uncleared == 0 {
+		d.place(a)
+	}
+}
+
+// cleared tells that one of the undone forerunners of an attempt is known to be given up.
+func (d *Director) cleared(a *attempt) {
+	a.uncleared--
+	if a.uncleared == 0 && !a.ended {
+		d.place(a)
+	}
+}
+
+// place sends an attempt or has it wait for a link.
+func (d *Director) place(a *attempt) {
+	if l := a.host.pick(a.req); l != nil {
 		d.send(a, l)
 		return
 	}
-	h.waiting = append(h.waiting, a)
-	h.dialMore()
+	a.host.waiting = append(a.host.waiting, a)
+	a.host.dialMore()
 }
 
 // send writes an attempt, unless what was decided does not hold any more.
@@ -227,6 +253,7 @@
 	// Attempts share the request's id: an answer that has crossed the undo must not pass for its successor's, so
 	// the successor never takes this link.
 	a.req.spoiled = append(a.req.spoiled, l)
+	a.req.unread = append(a.req.unread, l)
 	l.conn.Undo(a.req.ID)
 	if !l.conn.Drained() {
 		log.Printf("link to %s takes no bytes: closed with %d attempts", l.host.Name, len(l.open))
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -63,8 +63,9 @@
 type Link interface {
 	Send(o *Order)
 	Undo(id string)
-	Drained() bool // the system has taken all that was written
-	Close()        // no event follows
+	Ping(tag string) // answered by Pong once the other end has read all that was sent before
+	Drained() bool   // the system has taken all that was written
+	Close()          // no event follows
 }
 
 // LinkEvents is told what happens on a link; none of it happens during a call of Dialer or Link.
@@ -72,6 +73,7 @@
 	Up()
 	Flushed()
 	Reply(id []byte, r *Reply)
+	Pong(tag []byte)
 	Down(err error) // once and last
 }
 
@@ -95,6 +97,7 @@
 	IdleAfter     time.Duration // after which an unused link is closed
 	SilentAfter   time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
 	DialTimeout   time.Duration
+	PongTimeout   time.Duration // how long the other end may take to answer a ping before its link counts as dead
 	MaxAttempts   int
 	DrainGrace    time.Duration
 	PurgeGrace    time.Duration
@@ -108,5 +111,5 @@
 	Taken, Served, Same, Refused, Failed, Revoked        int64
 	Attempts, Undone, LateReplies, GuardStops, Withheld  int64
 	OK, Miss, Full, Errors, Void, TimedOut, Reset, NoCon int64
-	Dials, LinksLost, Purges, Lists                      int64
+	Dials, LinksLost, LinksDead, Purges, Lists           int64
 }
--- a/router.go
+++ b/router.go
@@ -30,6 +30,7 @@
 	furtherShare      = 0.15 // further attempts that each request earns: a retry budget against storms
 	furtherBurst      = 20   // bounds what a calm time can save up
 	overdueDeviations = 4    // beyond the usual overhead an answer is overdue, as TCP's timer has it
+	strainedShare     = 0.9  // share of busy cores from which a cache has all it can do
 )
 
 // Health: hosts are compared with their peers, for what all suffer is no host's fault.
@@ -369,6 +370,9 @@
 	}
 	if r.s.Joins && !c.Uncacheable {
 		opts |= Join
+		if how == keptHere { // a mere look must not hang on a fill that hangs
+			opts = 0
+		}
 		if c.Fresh > 0 {
 			opts |= Renew
 		}
@@ -381,12 +385,15 @@
 	return a
 }
 
-// overdueAt is when an attempt sent now has taken longer than its size and the usual overhead explain, or
-// when a further one must start to keep the aim, whichever is sooner.
+// overdueAt is when an attempt sent now has taken longer than its size and the usual overhead explain, and a
+// further one must start to keep the aim.
 func (r *Router) overdueAt(q *request) time.Duration {
 	usual := q.send + seconds(r.lag)
+	if n := len(q.attempts); n > 1 { // further ones must not chase each other through a jam
+		return r.now + (usual+seconds(overdueDeviations*r.lagDev))<<(n-1)
+	}
 	late := r.now + usual + seconds(overdueDeviations*r.lagDev)
-	return max(min(late, r.dueBy(q)), r.now+usual)
+	return max(late, r.dueBy(q))
 }
 
 // alarm is a timer come due; one whose cause is over does nothing.
@@ -422,9 +429,18 @@
 	}
 }
 
-// overdue blames an attempt's cache, if that has answered nothing since, or a source that has not.
+// overdue blames an attempt's cache, if that has answered nothing since, or a source that has not. Then it
+// calls the attempt off to ask again: an answer may be lost on a connection that serves others, a fill may
+// hang. That draws on the budget for further attempts, and a cache that has all it can do is not asked twice.
 func (r *Router) overdue(a *attempt) {
-	h := a.host
+	h, q := a.host, a.req
+	again := h.answered >= a.sentAt || slices.ContainsFunc(r.caches, func(o *host) bool {
+		return o != h && r.usable(o, q) && !q.tried(o)
+	})
+	if again && r.s.Cancel && r.further >= 1 && r.open[q.Request] == q && len(q.attempts) < r.s.MaxAttempts &&
+		r.now+q.send < q.deadline && !r.strained(h) {
+		defer r.do(Abort{Request: q.Request, Attempt: a.number})
+	}
 	switch {
 	case h.answered < a.sentAt:
 		h.silent++
@@ -436,6 +452,11 @@
 	}
 }
 
+// strained tells whether a cache says that it, or the location's link, has as much to do as it can.
+func (r *Router) strained(h *host) bool {
+	return h.load["cpu_share"] > strainedShare || h.load["x1"] > 1
+}
+
 func (r *Router) first(e First) {
 	if a := r.flying[attemptKey{e.Request, e.Attempt}]; a != nil {
 		a.host.answered, a.host.silent = r.now, 0
@@ -456,11 +477,15 @@
 	q := a.req
 	a.ended = true
 	a.host.out--
+	if e.Report != nil {
+		a.host.load = e.Report
+	}
 	switch e.Status {
 	case Full, ConnectFailed, Moot, Miss:
 		a.mayRun = false
 	}
-	a.spent = e.Status != Miss && e.Status != Reset && // nor does a failed source count against the cache
+	// A failed source does not count against the cache, nor an answer lost by one that answers others.
+	a.spent = e.Status != Miss && e.Status != Reset && (e.Status != Cancelled || a.host.answered < a.sentAt) &&
 		(e.Note < NoteSourceRefused || e.Note == NoteNoPlace)
 	if e.Status == Miss && a.reach != anywhere {
 		a.lacks = a.reach
--- a/router_test.go
+++ b/router_test.go
@@ -312,6 +312,41 @@
 	}
 }
 
+// A look must come back at once, also where a fill hangs that it could join.
+func TestLookJoinsNoFill(t *testing.T) {
+	b := start(t, site())
+	b.r.fills = narrowed()
+	if look := b.sent(b.query("a", 1)); look.Options&Join != 0 {
+		t.Errorf("options %d of a look join a fill", look.Options)
+	}
+}
+
+// An answer may be lost on a connection that serves others: the attempt is called off and the same cache asked again,
+// for it has the copy; but not one that has all it can do.
+func TestOverdueAttemptIsAskedAgain(t *testing.T) {
+	for _, strain := range []float64{0.3, 0.95} {
+		b := start(t, site())
+		first := b.sent(b.query("a", 1))
+		b.now += 10 * ms
+		h := b.r.hosts[first.Host]
+		h.answered, h.load = b.now, LoadReport{"cpu_share": strain}
+		b.now += 400 * ms
+		off := of[Abort](b.on(Alarm{Token: "watch:a:0"}))
+		if strain > strainedShare {
+			if len(off) != 0 {
+				t.Errorf("a strained cache is asked again: %v", off)
+			}
+			continue
+		}
+		if len(off) != 1 || off[0].Attempt != 0 {
+			t.Fatalf("called off %v, want attempt 0", off)
+		}
+		if got := b.sent(b.answer("a", first, 0, Cancelled, NoteNone)); got.Host != first.Host {
+			t.Errorf("asked again at %d, want %d, which has the copy", got.Host, first.Host)
+		}
+	}
+}
+
 func TestParentsAreAskedWhatTheyKeepWhileFetchesAreLimited(t *testing.T) {
 	b := start(t, site())
 	b.r.fetches = narrowed()
