Leave the budget for further attempts alone when a connection is refused

Checked by a temporary trace: the dead cache was ejected rightly; the attempts at it were the last resort of pickCache while the others were full. Line at fault: router.go retry() counted them as further work, but they cost nobody any.

--- a/router.go
+++ b/router.go
@@ -551,7 +551,7 @@
 // failed otherwise draws on the budget for further attempts, so that a jam is not fed.
 func (r *Router) retry(q *request, a *attempt, e Answer) {
 	over := r.now >= q.deadline || e.Status == TimedOut && r.now+r.s.AnswerGrace >= q.deadline
-	free := a.lacks > 0 || e.Status == Reset
+	free := a.lacks > 0 || e.Status == Reset || e.Status == ConnectFailed
 	if over || !free && r.further < 1 || len(q.attempts) >= r.s.MaxAttempts || r.now+q.send >= q.deadline {
 		r.giveUp(q)
 		return
--- a/router_test.go
+++ b/router_test.go
@@ -348,6 +348,17 @@
 	}
 }
 
+// A connection that is refused has cost nobody any work: trying elsewhere is free of the budget, which a dead cache
+// would eat up else.
+func TestRefusedConnectionCostsNoBudget(t *testing.T) {
+	b := start(t, site())
+	b.r.further = 0
+	first := b.sent(b.query("a", 1))
+	if got := b.sent(b.answer("a", first, 0, ConnectFailed, NoteNone)); got.Host == first.Host {
+		t.Errorf("asked again at %d, which refused the connection", got.Host)
+	}
+}
+
 // A client that waits less than a fill takes gets what the cache keeps, or a refusal at once; when its time is over,
 // that shows nothing short, and the windows stay as they are.
 func TestHastyClientNarrowsNoWindow(t *testing.T) {
