Take load reports by the settings' names too; eject a cache overdue more than its peers

Now both names are taken, and an overdue attempt at a cache that is not strained counts as a bad outcome of that cache; the comparison with its peers decides as before.

--- a/internal/program/report.go
+++ b/internal/program/report.go
@@ -7,13 +7,14 @@
 	"stairvane.org/stairvane"
 )
 
-// reportNames are the load values that are called otherwise on the sockets than in the settings.
+// reportNames are the other names that load values may have on the sockets; the caches use the settings' own.
 var reportNames = map[string]string{
 	"inflight": "busy_reqs", "queue": "pending", "util": "cpu_share", "latency_ms": "svc_ms", "qps": "served_ps",
 	"eps": "failed_ps",
 }
 
-// reportMap gives the settings' names by the sockets', for the fields that the settings name.
+// reportMap gives the settings' names by the sockets', for the fields that the settings name. Both names are taken: with
+// one alone the module would miss the values of caches that use the other, and take a strained cache for an idle one.
 func reportMap(fields []string) map[string]string {
 	m := map[string]string{}
 	for _, f := range fields {
@@ -21,7 +22,6 @@
 	}
 	for socket, setting := range reportNames {
 		if _, wanted := m[setting]; wanted {
-			delete(m, setting)
 			m[socket] = setting
 		}
 	}
--- a/router.go
+++ b/router.go
@@ -452,6 +452,9 @@
 		}
 	case a.source.answered < a.sentAt && a.source != r.origin && a.source != h:
 		r.outcome(a.source, 1)
+	case !r.strained(h): // it answers others, but this one late or never; its peers tell whether it is to blame
+		a.late = true
+		r.outcome(h, 1)
 	}
 }
 
@@ -604,7 +607,9 @@
 	switch {
 	case e.Status == OK:
 		r.carried.sum += a.req.send.Seconds()
-		r.outcome(a.host, 0)
+		if !a.late {
+			r.outcome(a.host, 0)
+		}
 		over := max(0, (e.Elapsed - a.req.send).Seconds())
 		r.lagDev += smoothing * (math.Abs(over-r.lag) - r.lagDev)
 		r.lag += smoothing * (over - r.lag)
--- a/state.go
+++ b/state.go
@@ -67,6 +67,7 @@
 	mayRun  bool
 	reach   reach
 	lacks   reach     // how far it showed the object to be lacking
+	late    bool      // its cache has been blamed for it
 	judged  bool      // its windows have moved for it
 	windows []*window // that it is out in
 }
