Let a closed link settle before what was on it goes on elsewhere

The log has, within the offset of its clock, a link with 19 attempts that was closed for an answer that could not be read. Checked: the log has no undo, no ping without an answer and no second answer then. Ruled out: repeats of an undone attempt, which wait for the ping. Lines at fault: transport/conn.go Close() leaves the closing of the descriptor to the end of the batch, so that its number is not used again within it; routing/hosts.go lost() ended the attempts at once, and the module sent them on over other connections in the same batch: the cache got the second order before the end of the first connection. Now Close shuts the connection down at once, and what was on a lost link ends 5 ms later.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -18,6 +18,7 @@
 	lastBytes   = 500 * time.Millisecond // for clients to read their last answers and close
 	leavePoll   = 5 * time.Millisecond
 	pongTimeout = 250 * time.Millisecond // far more than a working cache takes
+	settle      = 5 * time.Millisecond   // more than a working cache takes to notice a close
 	silentAfter = time.Second            // longer than a transfer usually takes; being wrong costs one more connection
 
 	defaultStreams = 32
@@ -47,7 +48,7 @@
 	}
 	s := c.Settings
 	limits := routing.Limits{
-		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout, PongTimeout: pongTimeout, MaxAttempts: s.MaxAttempts,
+		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout, PongTimeout: pongTimeout, Settle: settle, MaxAttempts: s.MaxAttempts,
 		DrainGrace: s.DrainGrace, PurgeGrace: s.PurgeGrace, PurgeDone: s.PurgeDone, SecondCopies: s.SecondCopies,
 	}
 	for _, class := range s.Classes {
--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -216,6 +216,24 @@
 	}
 }
 
+// The other end of a closed link needs a moment to notice: what was on it must not go on elsewhere before.
+func TestLostLinkIsLeftToSettle(t *testing.T) {
+	d, s, c := scripted(t, func(l *Limits) { l.Settle = time.Millisecond }, "a")
+	d.Submit(ask(c, "r1"))
+	s.links[0].ev.Up()
+	s.links[0].ev.Down(errors.New("unreadable"))
+	if len(s.links) != 1 || d.Counts.Reset != 0 {
+		t.Fatalf("%d links, %d resets before the link has settled", len(s.links), d.Counts.Reset)
+	}
+	d.loop.Set(&transport.Timer{Fire: d.loop.Stop}, d.loop.Now()+20*time.Millisecond)
+	if err := d.loop.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if len(s.links) != 2 || d.Counts.Reset != 1 {
+		t.Errorf("%d links, %d resets once it has settled", len(s.links), d.Counts.Reset)
+	}
+}
+
 // An undo that can't be written leaves the attempt out: closing the link gives it up for certain.
 func TestUndoOnAStuckLinkClosesIt(t *testing.T) {
 	d, s, c := scripted(t, none, "a")
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -109,6 +109,7 @@
 	conn      Link
 	up        bool
 	retired   bool
+	closed    bool
 	dialedAt  time.Duration
 	idleSince time.Duration
 	quiet     time.Duration       // since when it owes an answer and has sent nothing; 0: it is not quiet
@@ -264,6 +265,9 @@
 	d.pings++
 	tag := "p" + strconv.FormatInt(d.pings, 36) // no request's id, which is of hex digits alone
 	l.pings[tag] = a
+	if l.closed {
+		return
+	}
 	l.conn.Ping(tag)
 	if !l.pong.Active() {
 		d.loop.Set(&l.pong, d.loop.Now()+d.limits.PongTimeout)
@@ -305,10 +309,23 @@
 	l.lost()
 }
 
-// lost ends everything on a link that is no more: what had come whole may have run, what had not never ran.
+// lost takes a link that is no more out of the pool. What was on it ends when the other end has had the time to notice:
+// two connections are read in any order, and what goes on elsewhere at once might be out twice.
 func (l *link) lost() {
-	d := l.host.director
 	l.remove()
+	l.closed = true
+	d := l.host.director
+	if d.limits.Settle == 0 || len(l.open)+len(l.pings) == 0 {
+		l.settled()
+		return
+	}
+	l.pong.Fire = l.settled
+	d.loop.Set(&l.pong, d.loop.Now()+d.limits.Settle)
+}
+
+// settled ends everything on a lost link: what had come whole may have run, what had not never ran.
+func (l *link) settled() {
+	d := l.host.director
 	open := make([]*attempt, 0, len(l.open))
 	for _, a := range l.open {
 		open = append(open, a)
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -97,6 +97,7 @@
 	IdleAfter     time.Duration // after which an unused link is closed
 	SilentAfter   time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
 	DialTimeout   time.Duration
+	Settle        time.Duration // how long the other end may take to notice that a link has been closed
 	PongTimeout   time.Duration // how long the other end may take to answer a ping before its link counts as dead
 	MaxAttempts   int
 	DrainGrace    time.Duration
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -122,6 +122,9 @@
 	}
 	c.closed = true
 	c.dial.Stop()
+	// The descriptor is closed when the batch is over. The peer must hear of the end before anything that the same
+	// batch sends it elsewhere: a request that goes on there would be out twice.
+	_ = unix.Shutdown(c.fd, unix.SHUT_RDWR)
 	c.loop.drop(c.fd)
 	c.loop.queued -= c.outSize
 	c.outSize = 0
