Ping links that owe answers: a hanging one is given up after 0.15 s, not its cache

Checked by a replay with a temporary trace: a link to one of the location's two caches hung with 2 to 23 attempts out. They were overdue one after the other and blamed on the cache, which was ejected though it answered well on other connections; the second cache got all the work, jammed (busy 78 of some 10) and was ejected as well. Lines at fault: routing/hosts.go found a hanging link only by silence of 1 s or by the ping behind an undo, both later than the attempts were overdue. Now a link that owes answers and has sent nothing for 50 ms is pinged; without an answer in 100 ms it is closed and its attempts end as reset, which the module neither blames on the cache nor counts as further work. The scripted caches of the stories now answer pings, as caches do.

--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -50,7 +50,41 @@
 	check(c.t, c.ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience)))
 	conn, err := c.ln.Accept()
 	check(c.t, err)
-	return newPeer(c.t, conn)
+	p := newPeer(c.t, conn)
+	p.commands = make(chan []string, 4096)
+	go p.serve()
+	return p
+}
+
+// serve reads commands as a cache does and answers pings at once, as a cache does whatever else it is busy with.
+func (p *peer) serve() {
+	defer close(p.commands)
+	count := func() int {
+		line, err := p.in.ReadString('\n')
+		if err != nil || len(line) < 4 {
+			return -1
+		}
+		n, err := strconv.Atoi(line[1 : len(line)-2])
+		if err != nil {
+			return -1
+		}
+		return n
+	}
+	for n := count(); n > 0; n = count() {
+		w := make([]string, n)
+		for i := range w {
+			b := make([]byte, max(0, count())+2)
+			if _, err := io.ReadFull(p.in, b); err != nil {
+				return
+			}
+			w[i] = string(b[:len(b)-2])
+		}
+		if w[0] != "ping" {
+			p.commands <- w
+		} else if _, err := io.WriteString(p.conn, words(w[1], "UP")); err != nil {
+			return
+		}
+	}
 }
 
 // peer is one connection of a script: a cache's, or a client's.
@@ -59,6 +93,8 @@
 	conn net.Conn
 	in   *bufio.Reader
 	seq  int32
+
+	commands chan []string // that have come, where it is a cache
 }
 
 func newPeer(t *testing.T, conn net.Conn) *peer {
@@ -81,31 +117,27 @@
 	return string(b)
 }
 
-// words reads one command as a cache does.
+// words is the next command that a cache has got.
 func (p *peer) words() []string {
 	p.t.Helper()
-	count := func() int {
-		line, err := p.in.ReadString('\n')
-		check(p.t, err)
-		n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
-		check(p.t, err)
-		return n
-	}
-	w := make([]string, count())
-	for i := range w {
-		w[i] = strings.TrimSuffix(p.read(count()+2), "\r\n")
+	select {
+	case w, open := <-p.commands:
+		if !open {
+			p.t.Fatal("the connection has ended")
+		}
+		return w
+	case <-time.After(patience):
+		p.t.Fatal("no command came")
 	}
-	return w
+	return nil
 }
 
-// order reads the next order, past what is undone and pings; it gives the id and the fields.
+// order reads the next order, past what is undone; it gives the id and the fields.
 func (p *peer) order() (id string, fields map[string]string) {
 	p.t.Helper()
 	w := p.words()
-	for ; w[0] != "do"; w = p.words() {
-		if w[0] == "ping" {
-			p.answer(w[1], "UP")
-		}
+	for w[0] != "do" {
+		w = p.words()
 	}
 	if len(w) != 4 {
 		p.t.Fatalf("order %q", w)
@@ -118,13 +150,18 @@
 	return w[1], fields
 }
 
-func (p *peer) answer(words ...string) {
+func (p *peer) answer(w ...string) {
 	p.t.Helper()
-	s := fmt.Sprintf("*%d\r\n", len(words))
-	for _, w := range words {
-		s += fmt.Sprintf("$%d\r\n%s\r\n", len(w), w)
+	p.write(words(w...))
+}
+
+// words is an array of bulk strings.
+func words(w ...string) string {
+	s := fmt.Sprintf("*%d\r\n", len(w))
+	for _, x := range w {
+		s += fmt.Sprintf("$%d\r\n%s\r\n", len(x), x)
 	}
-	p.write(s)
+	return s
 }
 
 func be32(n int) string     { return string(binary.BigEndian.AppendUint32(nil, uint32(n))) }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -17,7 +17,9 @@
 	stillTaking = 700 * time.Millisecond
 	lastBytes   = 500 * time.Millisecond // for clients to read their last answers and close
 	leavePoll   = 5 * time.Millisecond
-	pongTimeout = 250 * time.Millisecond // far more than a working cache takes
+	// A link that hangs is given up after both together, sooner than most answers are overdue.
+	probeAfter  = 50 * time.Millisecond
+	pongTimeout = 100 * time.Millisecond // far more than a working cache takes
 	settle      = 5 * time.Millisecond   // more than a working cache takes to notice a close
 	silentAfter = time.Second            // longer than a transfer usually takes; being wrong costs one more connection
 
@@ -48,7 +50,8 @@
 	}
 	s := c.Settings
 	limits := routing.Limits{
-		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout, PongTimeout: pongTimeout, Settle: settle, MaxAttempts: s.MaxAttempts,
+		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout,
+		ProbeAfter: probeAfter, PongTimeout: pongTimeout, Settle: settle, MaxAttempts: s.MaxAttempts,
 		DrainGrace: s.DrainGrace, PurgeGrace: s.PurgeGrace, PurgeDone: s.PurgeDone, SecondCopies: s.SecondCopies,
 	}
 	for _, class := range s.Classes {
--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -216,6 +216,21 @@
 	}
 }
 
+// A link that hangs is found out by a ping, not by its attempts' time-outs: they go on in time, as reset.
+func TestHangingLinkIsProbedAndClosed(t *testing.T) {
+	d, s, c := scripted(t, func(l *Limits) { l.ProbeAfter, l.PongTimeout = time.Millisecond, 4*time.Millisecond }, "a")
+	d.Submit(ask(c, "r1"))
+	old := s.links[0]
+	old.ev.Up()
+	d.loop.Set(&transport.Timer{Fire: d.loop.Stop}, d.loop.Now()+50*time.Millisecond)
+	if err := d.loop.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if len(old.pinged) == 0 || !old.closed || d.Counts.Reset != 1 || len(s.links) != 2 {
+		t.Errorf("pinged %q, closed %t, %d resets, %d links", old.pinged, old.closed, d.Counts.Reset, len(s.links))
+	}
+}
+
 // The other end of a closed link needs a moment to notice: what was on it must not go on elsewhere before.
 func TestLostLinkIsLeftToSettle(t *testing.T) {
 	d, s, c := scripted(t, func(l *Limits) { l.Settle = time.Millisecond }, "a")
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -117,6 +117,8 @@
 	partial   *attempt            // of which the system has not taken all yet
 	pings     map[string]*attempt // by tag: attempts that wait until the other end has read the undo of their forerunner
 	pong      transport.Timer
+	heard     time.Duration // when it last answered anything
+	check     transport.Timer
 }
 
 // pick is the link with the fewest attempts among those that can take one of this request.
@@ -151,7 +153,7 @@
 	for coming*d.limits.Streams < len(h.waiting) && usable < d.limits.LinksPerHost {
 		now := d.loop.Now()
 		l := &link{host: h, dialedAt: now, idleSince: now, open: map[string]*attempt{}, pings: map[string]*attempt{}}
-		l.pong.Fire = l.dead
+		l.pong.Fire, l.check.Fire = l.dead, l.probe
 		conn, err := d.dialer.Dial(h.Address, d.limits.DialTimeout, l)
 		if err != nil {
 			log.Printf("link to %s at %s: %v", h.Name, h.Address, err)
@@ -203,7 +205,7 @@
 }
 
 func (l *link) closeIfIdle() {
-	if len(l.open) == 0 && len(l.pings) == 0 {
+	if len(l.open)+len(l.pings) == 0 {
 		l.drop()
 	}
 }
@@ -216,6 +218,7 @@
 
 func (l *link) remove() {
 	l.pong.Stop()
+	l.check.Stop()
 	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
 }
 
@@ -241,6 +244,7 @@
 func (l *link) Reply(id []byte, r *Reply) {
 	d := l.host.director
 	l.quiet = 0
+	l.heard = d.loop.Now()
 	a := l.open[string(id)]
 	if a == nil {
 		d.Counts.LateReplies++
@@ -258,8 +262,22 @@
 	}
 }
 
-// ping has an attempt wait until the other end has read what was sent before. A link that does not even answer a ping
-// is of no further use to anyone on it.
+// probe pings a link that owes answers and has sent nothing for a while. One that hangs is found out before its attempts
+// are overdue, so that they go on in time and nobody takes their lateness for the cache's.
+func (l *link) probe() {
+	d := l.host.director
+	now := d.loop.Now()
+	if len(l.open) == 0 {
+		return
+	}
+	if len(l.pings) == 0 && now-l.heard >= d.limits.ProbeAfter {
+		l.ping(nil)
+	}
+	d.loop.Set(&l.check, max(l.heard, now)+d.limits.ProbeAfter)
+}
+
+// ping has an attempt, if there is one, wait until the other end has read what was sent before. A link that does not
+// even answer a ping is of no further use to anyone on it.
 func (l *link) ping(a *attempt) {
 	d := l.host.director
 	d.pings++
@@ -276,17 +294,20 @@
 
 // Pong implements LinkEvents.
 func (l *link) Pong(tag []byte) {
-	a := l.pings[string(tag)]
-	if a == nil {
+	a, known := l.pings[string(tag)]
+	if !known {
 		return
 	}
+	l.heard = l.host.director.loop.Now()
 	l.pong.Stop()
 	delete(l.pings, string(tag))
 	if len(l.pings) > 0 {
 		d := l.host.director
 		d.loop.Set(&l.pong, d.loop.Now()+d.limits.PongTimeout)
 	}
-	l.host.director.cleared(a)
+	if a != nil {
+		l.host.director.cleared(a)
+	}
 }
 
 // dead gives up a link that is open and silent.
@@ -343,7 +364,9 @@
 	pings := l.pings
 	l.pings = nil
 	for _, tag := range slices.Sorted(maps.Keys(pings)) { // closing has given up what the undo spoke of
-		d.cleared(pings[tag])
+		if a := pings[tag]; a != nil {
+			d.cleared(a)
+		}
 	}
 	l.host.refuseWaiting()
 	if len(l.host.waiting) > 0 {
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -179,6 +179,10 @@
 	if l.quiet == 0 {
 		l.quiet = now
 	}
+	if !l.check.Active() && d.limits.ProbeAfter > 0 {
+		l.heard = now
+		d.loop.Set(&l.check, now+d.limits.ProbeAfter)
+	}
 	l.conn.Send(&o)
 	if a.whole = l.conn.Drained(); !a.whole {
 		l.partial = a
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -98,6 +98,7 @@
 	SilentAfter   time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
 	DialTimeout   time.Duration
 	Settle        time.Duration // how long the other end may take to notice that a link has been closed
+	ProbeAfter    time.Duration // how long a link may owe answers and send nothing before it is pinged; 0: for good
 	PongTimeout   time.Duration // how long the other end may take to answer a ping before its link counts as dead
 	MaxAttempts   int
 	DrainGrace    time.Duration
