Close clients that got no answer and wait for none 2 s after connecting

A group above 255 was taken as well, so that a faulty request could have been served. Checked: a story with a silent, a half and a fickle client beside one that waits.

--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -24,6 +24,7 @@
 type client struct {
 	front *front
 	conn  *transport.Conn
+	since time.Duration
 	open  map[int32]*routing.Request // by sequence number
 	ended bool                       // nothing more is taken from it
 }
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -17,12 +17,19 @@
 // to cross the network.
 const evictAfter = 300 * time.Millisecond
 
+const (
+	sweepEvery = 500 * time.Millisecond
+	// helloWithin is how long after connecting a client may have got no answer and wait for none. Some open connections
+	// and say nothing, or half a message, or withdraw all they ask for; they are owed a close within 3 s.
+	helloWithin = 2 * time.Second
+)
+
 // stuckAfter is how long a client may take no byte of what waits for it; longer than any deadline.
 const stuckAfter = 10 * time.Second
 
 // FrontCounts is what the front has seen.
 type FrontCounts struct {
-	Connections, Turned, Evicted, Malformed, Unserved, Heartbeats, Stuck int64
+	Connections, Turned, Evicted, Mute, Malformed, Unserved, Heartbeats, Stuck int64
 }
 
 // front accepts clients and turns their calls into requests.
@@ -35,20 +42,21 @@
 	most     int
 	idle     time.Duration
 
-	evictAfter time.Duration
-	queueMax   int // bytes of answers that clients together may leave untaken
-	bodyMax    int // bytes of requests' bodies held
-	bodies     int
-	leaving    bool // on the way out: not admitted any more
-	closing    bool // no more requests are expected
-	call       thrift.Call
-	head       []byte // reused by every answer
-	tail       []byte
-	sweep      transport.Timer
+	evictAfter  time.Duration
+	helloWithin time.Duration
+	queueMax    int // bytes of answers that clients together may leave untaken
+	bodyMax     int // bytes of requests' bodies held
+	bodies      int
+	leaving     bool // on the way out: not admitted any more
+	closing     bool // no more requests are expected
+	call        thrift.Call
+	head        []byte // reused by every answer
+	tail        []byte
+	sweep       transport.Timer
 }
 
 func newFront(loop *transport.Loop, d *routing.Director, listen netip.AddrPort, most int, idle time.Duration, memory int) (*front, error) {
-	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle, evictAfter: evictAfter,
+	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle, evictAfter: evictAfter, helloWithin: helloWithin,
 		queueMax: memory / 6, bodyMax: memory / 8}
 	var err error
 	f.listener, err = loop.Listen(listen, func() transport.Handler { return &client{front: f, open: map[int32]*routing.Request{}} },
@@ -57,12 +65,12 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	f.sweep.Fire = f.tidy
-	loop.Set(&f.sweep, loop.Now()+time.Second)
+	loop.Set(&f.sweep, loop.Now()+sweepEvery)
 	return f, nil
 }
 
 func (f *front) admit(conn *transport.Conn, c *client) {
-	c.conn = conn
+	c.conn, c.since = conn, f.loop.Now()
 	// Descriptors are shared with the links to the caches: clients have their part and no more. Some ask once and hold
 	// their connection for good; the one that has been unused for longest makes room for whoever comes now.
 	if len(f.clients) >= f.most && !f.evict() {
@@ -101,11 +109,15 @@
 // tidy closes connections that nobody uses.
 func (f *front) tidy() {
 	now := f.loop.Now()
-	f.loop.Set(&f.sweep, now+time.Second)
+	f.loop.Set(&f.sweep, now+sweepEvery)
 	for c := range f.clients {
 		switch unused := now - c.conn.LastUse(); {
 		case c.conn.Queued() > 0 && unused >= stuckAfter:
 			c.dropStuck()
+		case len(c.open) == 0 && !c.conn.Sent() && now-c.since >= f.helloWithin:
+			f.Counts.Mute++
+			delete(f.clients, c)
+			c.conn.Close()
 		case len(c.open) == 0 && c.conn.Queued() == 0 && unused >= f.idle:
 			delete(f.clients, c)
 			c.conn.Close()
--- a/internal/program/request.go
+++ b/internal/program/request.go
@@ -10,6 +10,8 @@
 	"stairvane.org/stairvane/internal/routing"
 )
 
+const mostGroup = 255
+
 // hexWord tells whether b is made of n hex digits.
 func hexWord(b []byte, n int) bool {
 	if len(b) != n {
@@ -64,7 +66,7 @@
 	if r.Part, err = small(call.Field("part")); err != nil {
 		return nil, bad("part")
 	}
-	if r.Group, err = small(call.Field("group")); err != nil {
+	if r.Group, err = small(call.Field("group")); err != nil || r.Group > mostGroup {
 		return nil, bad("group")
 	}
 	if v := call.Field("mem"); len(v) > 0 {
--- a/internal/program/stories_test.go
+++ b/internal/program/stories_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -184,6 +187,10 @@
 	if r := client.reply(); r.kind != 3 || r.seq != 1 {
 		t.Errorf("want an application exception, got %+v", r)
 	}
+	client.submit(ridB, objA, "group", "256")
+	if r := client.reply(); r.kind != 3 || r.seq != 2 {
+		t.Errorf("want an application exception, got %+v", r)
+	}
 	client.submit(ridA, objA)
 	box := c.accept()
 	box.order()
@@ -191,7 +198,7 @@
 	box = c.accept()
 	box.order()
 	box.answer(ridA, "OK", "n=local", "x")
-	client.want(2, 0, "x")
+	client.want(3, 0, "x")
 }
 
 // Clients that take no answers must not fill the memory: the worst of them is closed, the others are served on.
@@ -223,6 +230,30 @@
 	client.want(1, 0, body)
 }
 
+// Whoever connects and says nothing, or half a message, or withdraws what it asks, is closed after a while; a client that
+// waits for an answer is not.
+func TestMuteClientsAreClosed(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	waiting, silent, half, fickle := w.client(), w.client(), w.client(), w.client()
+	waiting.submit(ridA, objA)
+	box := c.accept()
+	box.order()
+	half.write(half.submitText(ridB, objB, time.Second)[:20])
+	fickle.submit(ridC, objB)
+	fickle.write(fickle.call(4, "revoke", "\x08\x00\x01"+be32(1)))
+	for w := box.words(); w[0] != "undo"; w = box.words() {
+	}
+	w.p.Post(func() { w.p.front.helloWithin = 0; w.p.front.tidy() })
+	for _, p := range []*peer{silent, half, fickle} {
+		if _, err := p.in.ReadByte(); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("not closed: %v", err)
+		}
+	}
+	box.answer(ridA, "OK", "n=local", "a")
+	waiting.want(1, 0, "a")
+}
+
 // Clients that ask once and hold their connection for good make room for those who come; one that waits for its answer
 // does not.
 func TestUnusedConnectionMakesRoom(t *testing.T) {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -38,6 +38,7 @@
 	outHead int // bytes of out[0] already written
 	outSize int
 	lastUse time.Duration
+	sent    bool // anything at all
 	dial    Timer
 }
 
@@ -85,6 +86,9 @@
 // LastUse is when bytes last went either way.
 func (c *Conn) LastUse() time.Duration { return c.lastUse }
 
+// Sent tells whether anything has been written to the peer.
+func (c *Conn) Sent() bool { return c.sent }
+
 // Queued is how many bytes wait for the peer to take them.
 func (c *Conn) Queued() int { return c.outSize }
 
--- a/internal/transport/io.go
+++ b/internal/transport/io.go
@@ -17,6 +17,7 @@
 	if c.closed || c.fin {
 		return
 	}
+	c.sent = true
 	written := 0
 	if c.outSize == 0 && !c.dialing {
 		n, err := unix.Writev(c.fd, parts)
