Blame a cache for overdue attempts only if what it does answer is slow

Checked: in that time caches lose about a quarter of their answers and give the others as quickly as ever; with some attempts overdue twice their share of bad outcomes passed the bound, and each ejection took a third of a location's capacity. Line at fault: router.go overdue(), the case for caches that answer others. Now a cache is blamed only if its own smoothed overhead lies two deviations over the usual.

--- a/router.go
+++ b/router.go
@@ -30,6 +30,7 @@
 	furtherShare      = 0.15 // further attempts that each request earns: a retry budget against storms
 	furtherBurst      = 20   // bounds what a calm time can save up
 	overdueDeviations = 4    // beyond the usual overhead an answer is overdue, as TCP's timer has it
+	slowDeviations    = 2    // beyond the usual overhead a cache is slow; one that is not only loses answers
 	strainedShare     = 0.9  // share of busy cores from which a cache has all it can do
 )
 
@@ -452,7 +453,7 @@
 		}
 	case a.source.answered < a.sentAt && a.source != r.origin && a.source != h:
 		r.outcome(a.source, 1)
-	case !r.strained(h): // it answers others, but this one late or never; its peers tell whether it is to blame
+	case !r.strained(h) && h.lag > r.lag+slowDeviations*r.lagDev: // its peers tell whether it is to blame
 		a.late = true
 		r.outcome(h, 1)
 	}
@@ -613,6 +614,7 @@
 		over := max(0, (e.Elapsed - a.req.send).Seconds())
 		r.lagDev += smoothing * (math.Abs(over-r.lag) - r.lagDev)
 		r.lag += smoothing * (over - r.lag)
+		a.host.lag += 2 * smoothing * (over - a.host.lag)
 		if e.Note == NoteHit || a.source == a.host {
 			r.hitOver += smoothing * (over - r.hitOver)
 		}
--- a/router_test.go
+++ b/router_test.go
@@ -348,6 +348,28 @@
 	}
 }
 
+// A cache whose answers are slow is blamed for what is overdue and ejected; one whose answers come as usual has only lost
+// some, and would be missed.
+func TestSlowCacheIsEjectedALossyOneIsNot(t *testing.T) {
+	for _, slow := range []bool{true, false} {
+		b := start(t, site())
+		b.r.lag, b.r.lagDev = 0.05, 0.04
+		h := b.r.hosts[b.sent(b.query("a", 1)).Host]
+		h.lag = 0.05 + 0.5*bool01(slow)
+		b.now += ms
+		h.answered = b.now
+		for _, p := range b.r.parents {
+			p.answered = b.now
+		}
+		for range 10 {
+			b.on(Alarm{Token: "watch:a:0"})
+		}
+		if b.r.healthy(h) == slow {
+			t.Errorf("slow %t: healthy %t", slow, !slow)
+		}
+	}
+}
+
 // A connection that is refused has cost nobody any work: trying elsewhere is free of the budget, which a dead cache
 // would eat up else.
 func TestRefusedConnectionCostsNoBudget(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -19,6 +19,7 @@
 	until    time.Duration // ejected until
 	ejected  int           // ejections in a row; 0: in good standing
 	load     LoadReport    // its last
+	lag      float64       // smoothed overhead of its answers, in seconds
 	link     window
 	ttfb     float64       // smoothed time to first byte, in seconds
 	drag     float64       // smoothed rest of a fill's time that neither that, its size nor a hit explains
