Log through log/slog with stable event names, JSON for machines

Need: the board and the tools that follow need one structured log, and machines could not read today's lines. Measured: all tests pass; the log of a reload is read back as JSON by the SIGHUP test.

--- a/cmd/stairvane/main_test.go
+++ b/cmd/stairvane/main_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -46,8 +46,9 @@
 		}
 	}
 	logged := make(lines, 64)
-	log.SetOutput(logged)
-	defer log.SetOutput(os.Stderr)
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewJSONHandler(logged, nil)))
+	defer slog.SetDefault(before)
 	t.Setenv("LB_CONFIG", path)
 	wait := func(from <-chan string, want string) {
 		t.Helper()
@@ -69,11 +70,11 @@
 	}
 	write(first, "1")
 	ended := make(chan error, 1)
-	go func() { ended <- run() }()
+	go func() { ended <- runDirector() }()
 	wait(polls, "first after 7")
 	write(second, "no number")
 	hangUp()
-	wait(logged, "not reloaded, the running configuration stays: seed")
+	wait(logged, `"reload.refused","err":"seed`)
 	write(second, "2")
 	hangUp()
 	wait(polls, "second after 7")
--- a/internal/program/caches.go
+++ b/internal/program/caches.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"strconv"
 	"time"
@@ -137,7 +137,7 @@
 		words, n, need, err := resp.Parse(b[used:], c.words)
 		c.words = words
 		if err != nil {
-			log.Printf("link to %s closed: %v", l.name, err)
+			slog.Warn("link.malformed", "addr", l.name, "err", err)
 			return used, 0, err
 		}
 		if n == 0 {
@@ -150,7 +150,7 @@
 		}
 		id, reply, err := c.reply(words)
 		if err != nil {
-			log.Printf("link to %s closed: %v", l.name, err)
+			slog.Warn("link.malformed", "addr", l.name, "err", err)
 			return used, 0, err
 		}
 		l.events.Reply(id, reply)
--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
@@ -50,7 +50,7 @@
 // Closed implements transport.Handler.
 func (c *client) Closed(err error) {
 	if len(c.open) > 0 && !errors.Is(err, io.EOF) {
-		log.Printf("client gone with %d requests open: %v", len(c.open), err)
+		slog.Info("client.gone", "open", len(c.open), "err", err)
 	}
 	c.abandon()
 }
@@ -67,7 +67,7 @@
 
 func (c *client) dropStuck() {
 	c.front.Counts.Stuck++
-	log.Printf("client takes no answers: closed with %d bytes queued and %d requests open", c.conn.Queued(), len(c.open))
+	slog.Warn("client.stuck", "queued_bytes", c.conn.Queued(), "open", len(c.open))
 	c.conn.Close()
 	c.abandon()
 }
@@ -82,7 +82,7 @@
 		n, need, err := thrift.Parse(b[used:], call)
 		if err != nil {
 			c.front.Counts.Malformed++
-			log.Printf("client closed: %v", err)
+			slog.Info("client.malformed", "err", err)
 			return used, 0, err
 		}
 		if n == 0 {
@@ -91,7 +91,7 @@
 		used += n
 		if err := c.handle(call); err != nil {
 			c.front.Counts.Malformed++
-			log.Printf("client closed: %v", err)
+			slog.Info("client.malformed", "err", err)
 			return used, 0, err
 		}
 	}
@@ -134,7 +134,7 @@
 	r, err := readRequest(call)
 	if err != nil {
 		c.front.Counts.Unserved++
-		log.Printf("request failed: %v", err)
+		slog.Debug("request.unusable", "err", err)
 		c.conn.Write(thrift.AppendException(nil, call.Name, call.Seq, thrift.ProtocolError, err.Error()))
 		return nil
 	}
--- a/internal/program/feed.go
+++ b/internal/program/feed.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"strconv"
 	"time"
@@ -61,7 +61,7 @@
 	if addr == f.addr {
 		return
 	}
-	log.Printf("bulletin moves from %s to %s after event %d", f.addr, addr, f.last)
+	slog.Info("bulletin.moves", "from", f.addr.String(), "to", addr.String(), "after", f.last)
 	f.addr, f.retry = addr, feedRetryMin
 	if f.conn != nil {
 		f.conn.Close()
@@ -76,7 +76,7 @@
 		f.conn = nil
 	}
 	if !f.failing {
-		log.Printf("bulletin lost after event %d: %v; calling again", f.last, err)
+		slog.Warn("bulletin.lost", "after", f.last, "err", err)
 	}
 	f.failing = true
 	f.loop.Set(&f.timer, f.loop.Now()+f.retry)
@@ -117,7 +117,7 @@
 	f.retry = feedRetryMin
 	if f.failing {
 		f.failing = false
-		log.Printf("bulletin is back at event %d", f.last)
+		slog.Info("bulletin.back", "at", f.last)
 	}
 	f.take(news)
 	if r.Close {
@@ -156,7 +156,7 @@
 	for _, h := range r.Hosts {
 		state, known := states[h.Health]
 		if !known {
-			log.Printf("bulletin: host %s in unknown state %q counts as draining", h.Name, h.Health)
+			slog.Warn("bulletin.unknown_state", "host", h.Name, "state", h.Health)
 			state = stairvane.Draining
 		}
 		members = append(members, routing.Member{
@@ -175,7 +175,7 @@
 	if r.Item != "" {
 		object, err := strconv.ParseUint(r.Item, 16, 64)
 		if err != nil {
-			log.Printf("bulletin: purge of object %q can't be read", r.Item)
+			slog.Error("bulletin.purge_unreadable", "object", r.Item)
 			return
 		}
 		f.director.PurgeObject(stairvane.ObjectID(object), issued)
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -74,7 +74,7 @@
 	// their connection for good; the one that has been unused for longest makes room for whoever comes now.
 	if len(f.clients) >= f.most && !f.evict() {
 		f.Counts.Turned++
-		log.Printf("client turned away: %d connections are open", len(f.clients))
+		slog.Warn("client.turned_away", "connections", len(f.clients))
 		conn.Close()
 		return
 	}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -1,8 +1,7 @@
 package program
 
 import (
-	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -95,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	log.Printf("%s serves on %s", p.config.Name, addr)
+	slog.Info("director.serves", "name", p.config.Name, "addr", addr.String())
 	err = p.loop.Run()
 	p.PrintCounts()
 	return err
@@ -108,10 +107,10 @@
 // differs waits for the next start and is named in the log.
 func (p *Program) Reload(c config.Config) {
 	for _, key := range p.config.Differs(c) {
-		log.Printf("reloaded: %s has changed; the old value holds until the next start", key)
+		slog.Warn("reload.key_waits", "key", key)
 	}
 	p.feed.move(c.Bulletin)
-	log.Print("reloaded")
+	slog.Info("reload.done")
 }
 
 // Leave begins the way out: it goes on taking what still comes, answers all, then ends Run.
@@ -119,7 +118,7 @@
 	if p.front.leaving {
 		return
 	}
-	log.Printf("leaving: %d requests open", p.director.Open())
+	slog.Info("director.leaving", "open", p.director.Open())
 	p.front.leaving = true
 	p.loop.Set(&p.leave, p.loop.Now()+stillTaking)
 }
@@ -135,7 +134,7 @@
 		p.emptyAt = now
 	}
 	if p.emptyAt > 0 && (len(p.front.clients) == 0 || now-p.emptyAt >= lastBytes && p.front.flushed()) {
-		log.Print("left: all requests answered")
+		slog.Info("director.left")
 		p.loop.Stop()
 		return
 	}
@@ -153,5 +152,5 @@
 
 // PrintCounts logs what was taken in, sent and answered.
 func (p *Program) PrintCounts() {
-	log.Printf("counts: %s", fmt.Sprintf("front%+v director%+v", p.front.Counts, p.director.Counts))
+	slog.Info("counts", "front", p.front.Counts, "director", p.director.Counts)
 }
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"log"
+	"log/slog"
 	"time"
 
 	"stairvane.org/stairvane"
@@ -128,11 +128,11 @@
 	case stairvane.After:
 		d.after(a.Delay, a.Token)
 	case stairvane.NoteDown:
-		log.Printf("module: %s", a.Line)
+		slog.Info("module.remark", "line", a.Line)
 	case stairvane.Subscribe, stairvane.Pull:
 		// The bulletin is followed from the start to the end.
 	case stairvane.Probe:
-		log.Printf("module asked to probe host %d, which the sockets do not allow", a.Host)
+		slog.Error("module.probe_asked", "host_number", a.Host)
 	}
 }
 
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -2,7 +2,7 @@
 
 import (
 	"hash/fnv"
-	"log"
+	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
@@ -77,7 +77,7 @@
 		if other == nil {
 			return id
 		}
-		log.Printf("hosts %s and %s share the number %d: salted", name, other.Name, id)
+		slog.Warn("host.number_shared", "host", name, "other", other.Name, "number", id)
 	}
 }
 
@@ -156,7 +156,7 @@
 		l.pong.Fire, l.check.Fire = l.dead, l.probe
 		conn, err := d.dialer.Dial(h.Address, d.limits.DialTimeout, l)
 		if err != nil {
-			log.Printf("link to %s at %s: %v", h.Name, h.Address, err)
+			slog.Warn("link.not_dialled", "host", h.Name, "addr", h.Address, "err", err)
 			h.refuseWaiting()
 			return
 		}
@@ -313,7 +313,7 @@
 // dead gives up a link that is open and silent.
 func (l *link) dead() {
 	l.host.director.Counts.LinksDead++
-	log.Printf("link to %s answers no ping: closed with %d attempts out", l.host.Name, len(l.open))
+	slog.Warn("link.no_pong", "host", l.host.Name, "attempts", len(l.open))
 	l.conn.Close()
 	l.lost()
 }
@@ -322,10 +322,10 @@
 func (l *link) Down(err error) {
 	d := l.host.director
 	if !l.up {
-		log.Printf("link to %s at %s did not come up: %v", l.host.Name, l.host.Address, err)
+		slog.Warn("link.not_up", "host", l.host.Name, "addr", l.host.Address, "err", err)
 	} else if len(l.open) > 0 {
 		d.Counts.LinksLost++
-		log.Printf("link to %s lost with %d attempts out: %v", l.host.Name, len(l.open), err)
+		slog.Warn("link.lost", "host", l.host.Name, "attempts", len(l.open), "err", err)
 	}
 	l.lost()
 }
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"log"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -44,7 +44,7 @@
 	key := stairvane.RequestID(r.ID)
 	// The module would take a second request of the same id for the first; the caller is owed an answer all the same.
 	if d.known[key] != nil {
-		log.Printf("request %s is open already: failed", r.ID)
+		slog.Debug("request.id_open_already", "id", r.ID)
 		d.Counts.Failed++
 		r.Caller.Fail(r)
 		return
@@ -109,8 +109,8 @@
 	over := d.limits.MaxAttempts > 0 && a.number >= d.limits.MaxAttempts
 	if q.answered || h == nil || !known || over || q.out > 1 && !d.limits.SecondCopies {
 		d.Counts.GuardStops++
-		log.Printf("attempt %d of %s not made: answered=%t host=%t source=%t out=%d", a.number, q.ID, q.answered,
-			h != nil, known, q.out)
+		slog.Error("attempt.not_made", "attempt", a.number, "id", q.ID, "answered", q.answered,
+			"host_known", h != nil, "source_known", known, "out", q.out)
 		d.end(a, &Reply{Status: stairvane.Moot})
 		return
 	}
@@ -153,7 +153,7 @@
 	now := d.loop.Now()
 	if why := d.stale(a, now); why != "" {
 		d.Counts.GuardStops++
-		log.Printf("attempt %d of %s to %s not sent: %s", a.number, a.req.ID, a.host.Name, why)
+		slog.Debug("attempt.not_sent", "attempt", a.number, "id", a.req.ID, "host", a.host.Name, "why", why)
 		d.end(a, &Reply{Status: stairvane.Moot})
 		return
 	}
@@ -260,7 +260,7 @@
 	a.req.unread = append(a.req.unread, l)
 	l.conn.Undo(a.req.ID)
 	if !l.conn.Drained() {
-		log.Printf("link to %s takes no bytes: closed with %d attempts", l.host.Name, len(l.open))
+		slog.Warn("link.takes_nothing", "host", l.host.Name, "attempts", len(l.open))
 		l.conn.Close()
 		l.lost()
 	}
@@ -285,7 +285,7 @@
 	if status == stairvane.OK && !q.answered {
 		if why := d.unfitCopy(a, r); why != "" {
 			d.Counts.Withheld++
-			log.Printf("answer of %s to %s not passed on: %s", a.host.Name, q.ID, why)
+			slog.Debug("answer.withheld", "host", a.host.Name, "id", q.ID, "why", why)
 			status = stairvane.Miss
 		} else {
 			d.serve(q, r)
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -85,7 +85,7 @@
 		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
 			continue
 		case err != nil:
-			log.Printf("accept failed: %v; trying again in %v", err, acceptPause)
+			slog.Warn("accept.failed", "err", err, "again_in_ms", acceptPause.Milliseconds())
 			ln.poll(0)
 			ln.loop.Set(&ln.retry, ln.loop.now+acceptPause)
 			return
@@ -93,7 +93,7 @@
 		h := ln.accept()
 		c, err := ln.loop.open(fd, unix.EPOLLIN, h)
 		if err != nil {
-			log.Printf("accept failed: %v", err)
+			slog.Warn("accept.failed", "err", err)
 			continue
 		}
 		ln.opened(c, h)
