--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -12,127 +12,9 @@
 	"pgregory.net/rapid"
 
 	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/fleet/fleettest"
 )
 
-// rules for small worlds: generous enough that many wishes have a plan, tight enough that many orders break something.
-func testRules() fleet.Rules {
-	r := fleet.DefaultRules()
-	r.Width = 3
-	return r
-}
-
-func drawWish(t *rapid.T, boxes int) fleet.Wish {
-	w := fleet.Wish{Rules: testRules()}
-	w.Rules.ColdMost = rapid.SampledFrom([]float64{0.25, 0.5, 1}).Draw(t, "cold-most")
-	hubs := rapid.IntRange(0, 2).Draw(t, "hubs")
-	w.Boxes = append(w.Boxes, fleet.Box{Name: "store", Role: fleet.Origin, Address: "10.9.0.1:1", Site: "north", Class: "store", Share: 20})
-	sources := []string{"store"}
-	for i := range hubs {
-		name := fmt.Sprintf("h-%d", i)
-		w.Boxes = append(w.Boxes, fleet.Box{Name: name, Role: fleet.Hub, Address: fmt.Sprintf("10.8.0.%d:1", i), Site: "north",
-			Class: "hub", Share: float64(rapid.IntRange(4, 12).Draw(t, "hub share"))})
-		sources = append(sources, name)
-	}
-	sites := []string{"east", "west"}
-	for i := range boxes {
-		if !rapid.Bool().Draw(t, "is") {
-			continue
-		}
-		// Few names and fewer addresses, so that boxes are replaced under their name and at their address.
-		b := fleet.Box{Name: fmt.Sprintf("c-%d", i), Role: fleet.Cache, Class: "std", Share: float64(rapid.IntRange(1, 4).Draw(t, "share")),
-			Site: rapid.SampledFrom(sites).Draw(t, "site"), Address: fmt.Sprintf("10.1.0.%d:1", rapid.IntRange(0, 1).Draw(t, "at")*50+i%4)}
-		if !slices.ContainsFunc(w.Boxes, func(o fleet.Box) bool { return o.Address == b.Address }) {
-			w.Boxes = append(w.Boxes, b)
-		}
-	}
-	for _, site := range sites {
-		sum, most := 0.0, 0.0
-		for _, b := range w.Boxes {
-			if b.Role == fleet.Cache && b.Site == site {
-				sum, most = sum+b.Share, max(most, b.Share)
-			}
-		}
-		if sum == 0 {
-			continue
-		}
-		floor := float64(rapid.IntRange(0, int(sum-most)).Draw(t, "floor"))
-		n := rapid.IntRange(1, len(sources)).Draw(t, "sources")
-		w.Locations = append(w.Locations, fleet.Location{Name: site, Floor: floor,
-			Load: floor * rapid.SampledFrom([]float64{0.3, 0.6, 1}).Draw(t, "load"), Sources: slices.Clone(sources[:n])})
-	}
-	w.Normal()
-	return w
-}
-
-// build makes a fleet that is as wished, warm.
-func build(t interface{ Fatal(...any) }, wish fleet.Wish) fleet.Fleet {
-	var f fleet.Fleet
-	put := func(e fleet.Event) {
-		e.No = f.Revision + 1
-		var err error
-		if f, err = f.Apply(e); err != nil {
-			t.Fatal(err)
-		}
-	}
-	put(fleet.Event{Rules: &wish.Rules})
-	for i := range wish.Locations {
-		put(fleet.Event{Location: &wish.Locations[i]})
-	}
-	for _, b := range wish.Boxes {
-		put(fleet.Event{Member: &fleet.Member{Box: b, State: fleet.InService, Serving: b.Share}})
-	}
-	return f
-}
-
-// broken looks for broken constraints the plain way: for each box, what is left if it dies now.
-func broken(w fleet.World, death string) (all map[string]float64) {
-	all = map[string]float64{}
-	serves := func(m *fleet.Member) bool { return w.Serves(m) && m.Name != death }
-	for l := range w.Locations() {
-		warm, cold, serving, capacity, sources, caches := 0.0, 0.0, 0.0, 0.0, 0.0, 0
-		n := 0
-		for m := range w.InSite(l.Name) {
-			if m.Role != fleet.Cache || !serves(m) {
-				continue
-			}
-			caches++
-			serving += m.Serving
-			capacity += m.Share
-			if w.IsCold(m) {
-				cold += m.Share
-				n++
-			} else {
-				warm += m.Serving
-			}
-		}
-		for _, s := range l.Sources {
-			if m := w.Member(s); m != nil && serves(m) {
-				sources++
-			}
-		}
-		if warm < l.Floor {
-			all["floor "+l.Name] = l.Floor - warm
-		}
-		if caches+len(l.Sources) > 0 && sources == 0 {
-			all["source "+l.Name] = 1
-		}
-		if l.Load == 0 || warm == 0 {
-			continue
-		}
-		if most := w.Rules().ColdMost * capacity; death == "" && n > 1 && cold > most+1e-9 {
-			all["cold-most "+l.Name] = cold - most
-		}
-		for m := range w.InSite(l.Name) {
-			if m.Role == fleet.Cache && serves(m) && w.IsCold(m) {
-				if asked, bears := l.Load*m.Serving/serving, w.Rules().Cache.Fall*w.Rules().Cache.Start*m.Share; asked > bears+1e-9 {
-					all["cold "+m.Name] = asked - bears
-				}
-			}
-		}
-	}
-	return all
-}
-
 // run carries a plan out in a random order that its graph allows, and looks at the world after each event.
 func run(t *rapid.T, w fleet.World, p *Plan, look func(before, after fleet.World, s Step)) fleet.World {
 	const pending, effected, done = 0, 1, 2
@@ -206,8 +88,8 @@
 func TestPlansKeepConstraintsAtEveryPrefix(t *testing.T) {
 	made, steps := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		from, to := drawWish(t, 8), drawWish(t, 8)
-		w := fleet.World{Fleet: build(t, from), NowMS: 1_000_000, Observed: map[string]fleet.Observation{}}
+		from, to := fleettest.DrawWish(t, 8), fleettest.DrawWish(t, 8)
+		w := fleet.World{Fleet: fleettest.Build(t, from), NowMS: 1_000_000, Observed: map[string]fleet.Observation{}}
 		for m := range w.Members() {
 			switch rapid.IntRange(0, 15).Draw(t, "seen") {
 			case 0:
@@ -247,12 +129,12 @@
 				return
 			}
 			for _, d := range deaths {
-				was := broken(before, d)
-				for what, by := range broken(after, d) {
+				was := fleettest.Broken(before, d)
+				for what, by := range fleettest.Broken(after, d) {
 					if old, is := was[what]; !is || by > old+1e-9 {
 						worst := false // another death broke it as much before
 						for _, o := range deaths {
-							worst = worst || broken(before, o)[what] >= by-1e-9
+							worst = worst || fleettest.Broken(before, o)[what] >= by-1e-9
 						}
 						if !worst {
 							t.Fatalf("step %d, %v: %s broken by %v (was %v) with %q dying\n%s", s.ID, s, what, by, old, d, text(p))
