--- /dev/null
+++ b/cmd/stairvane-fleet/board.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"stairvane.org/stairvane/internal/board"
+	"stairvane.org/stairvane/internal/opfile"
+)
+
+type boardCmd struct {
+	Config string `arg:"" type:"path" help:"The program's file, as deploy/stairvane.scm."`
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c boardCmd) Run() error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	set, faults := opfile.ReadProgram(c.Config, os.ReadFile)
+	if len(faults) > 0 {
+		return faults
+	}
+	b, err := board.New(set.Board, board.Options{})
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-signals
+		b.Stop()
+	}()
+	return b.Run()
+}
--- /dev/null
+++ b/cmd/stairvane-fleet/cli.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
+
+	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/fleet/plan"
+)
+
+// cli is the grammar of the command line.
+type cli struct {
+	Board    boardCmd    `cmd:"" help:"Run the board that keeps the fleet and carries out plans."`
+	Validate validateCmd `cmd:"" help:"Check the operator's files."`
+	Fmt      fmtCmd      `cmd:"" help:"Write the operator's files in the one form, comments kept."`
+	Plan     planCmd     `cmd:"" help:"Plan the way from the board's world to a wished fleet. Ends with 0: nothing to change, 2: changes, 7: impossible."`
+	Show     showCmd     `cmd:"" help:"Show a plan file."`
+	Apply    applyCmd    `cmd:"" help:"Have the board carry out a plan. Ends with 0: done, 3: stale, 4: another apply is under way, 6: it stopped."`
+	Applies  appliesCmd  `cmd:"" help:"List applies; show, pause, resume or cancel one."`
+	Revert   revertCmd   `cmd:"" help:"Plan back to what the fleet was before an apply."`
+	World    worldCmd    `cmd:"" help:"Show the fleet as it is declared and as it was seen."`
+	Purge    purgeCmd    `cmd:"" help:"Purge an object or a group on all caches."`
+	Version  versionCmd  `cmd:"" help:"Tell which program this is."`
+	Standin  standinCmd  `cmd:"" help:"Stand-ins for a quick start on one machine."`
+
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install or remove the shell's completions."`
+}
+
+// output is how a command writes.
+type output struct {
+	Output string `short:"o" enum:"text,json" default:"text" help:"text or json."`
+}
+
+// boardAt is how a command reaches the board.
+type boardAt struct {
+	Board       string `default:"unix:board.sock" env:"STAIRVANE_BOARD" help:"The board's write side: unix:PATH or HOST:PORT."`
+	Who         string `env:"STAIRVANE_WHO" help:"Who you are, if the system does not tell."`
+	Certificate string `type:"path" help:"Client certificate, PEM."`
+	Key         string `type:"path" help:"Its key."`
+	Authority   string `type:"path" help:"The authority of the board's certificate."`
+}
+
+func (b boardAt) client() (*api.Client, error) {
+	return api.NewClient(b.Board, b.Who, api.Credentials{Certificate: b.Certificate, Key: b.Key, Authority: b.Authority})
+}
+
+// streams are where a command writes; they are bound to its Run.
+type streams struct{ out, err io.Writer }
+
+// exit is an error with a status of its own. An empty message prints nothing.
+type exit struct {
+	status  int
+	message string
+}
+
+func (e *exit) Error() string { return e.message }
+
+func runCommand(args []string, out, errOut io.Writer) (status int) {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("stairvane"), kong.Description("Without a command: a director for depot caches, which LB_CONFIG configures. The commands run the board that keeps the fleet, and plan and apply changes to it."),
+		kong.Writers(out, errOut), kong.UsageOnError(), kong.Bind(streams{out, errOut}), kong.Exit(func(code int) { panic(exitPanic(code)) }))
+	if err != nil {
+		fmt.Fprintln(errOut, "stairvane:", err)
+		return exitFailed
+	}
+	defer func() { // kong ends the process for --help; here that is a value
+		if r := recover(); r != nil {
+			code, is := r.(exitPanic)
+			if !is {
+				panic(r)
+			}
+			status = int(code)
+		}
+	}()
+	kongplete.Complete(parser)
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "stairvane:", err)
+		return exitUsage
+	}
+	return statusOf(ctx.Run(), errOut)
+}
+
+type exitPanic int
+
+// statusOf prints an error in one line and gives the status that it stands for.
+func statusOf(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitDone
+	}
+	var e *exit
+	if errors.As(err, &e) {
+		if e.message != "" {
+			fmt.Fprintln(errOut, "stairvane:", e.message)
+		}
+		return e.status
+	}
+	fmt.Fprintln(errOut, "stairvane:", err)
+	var refused *api.Error
+	var impossible *plan.Impossible
+	switch {
+	case errors.As(err, &refused) && refused.Kind == api.Stale:
+		return exitStale
+	case errors.As(err, &refused) && refused.Kind == api.Busy:
+		return exitBusy
+	case errors.As(err, &refused) && (refused.Kind == api.Damaged || refused.Kind == api.Newer),
+		errors.Is(err, plan.ErrDamaged), errors.Is(err, plan.ErrNewer):
+		return exitDamaged
+	case errors.As(err, &impossible):
+		return exitImpossible
+	}
+	return exitFailed
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+type versionCmd struct{ output }
+
+func (c versionCmd) Run(s streams) error {
+	v := struct {
+		Program  string `json:"program"`
+		Version  string `json:"version"`
+		Revision string `json:"revision,omitempty"`
+		Go       string `json:"go"`
+		PlanFile int    `json:"plan_file"`
+	}{Program: "stairvane", Version: "unknown", PlanFile: plan.Version}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		v.Version, v.Go = info.Main.Version, info.GoVersion
+		for _, set := range info.Settings {
+			if set.Key == "vcs.revision" {
+				v.Revision = set.Value
+			}
+		}
+	}
+	if c.Output == "json" {
+		return writeJSON(s.out, v)
+	}
+	_, err := fmt.Fprintf(s.out, "stairvane %s %s (%s), plan files of version %d\n", v.Version, v.Revision, v.Go, v.PlanFile)
+	return err
+}
+
+// readPlan reads a plan file; errors name it.
+func readPlan(path string) (*plan.Plan, []byte, error) {
+	file, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	p, err := plan.Decode(file)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, file, nil
+}
--- /dev/null
+++ b/cmd/stairvane-fleet/main.go
@@ -0,0 +1,32 @@
+// Command stairvane-fleet holds the sub-commands of stairvane: the board that keeps the fleet and the tools that plan and
+// apply changes to it. It is a program of its own so that the director, which needs none of their libraries, is not made
+// larger by them; stairvane runs it for whatever it is called with.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"stairvane.org/stairvane/internal/logging"
+)
+
+// Exit statuses, which are part of what the commands promise.
+const (
+	exitDone       = 0
+	exitFailed     = 1
+	exitChanges    = 2 // plan: there is something to change
+	exitStale      = 3 // apply: the plan is stale
+	exitBusy       = 4 // apply: another apply is under way
+	exitDamaged    = 5 // the plan file is damaged, or of a newer version
+	exitStopped    = 6 // apply: paused, cancelled or reverted before its end
+	exitImpossible = 7 // plan: no order keeps the constraints
+	exitUsage      = 64
+)
+
+func main() {
+	if err := logging.Setup(); err != nil {
+		fmt.Fprintln(os.Stderr, "stairvane:", err)
+		os.Exit(exitFailed)
+	}
+	os.Exit(runCommand(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/board/admin.go
@@ -0,0 +1,351 @@
+package board
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/user"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/fleet/apply"
+	"stairvane.org/stairvane/internal/fleet/plan"
+)
+
+// The write side: few callers, who are people and their tools, so that net/http serves them.
+
+const maxSmallBody = 1 << 16
+
+// listenWrite opens the write side: a Unix socket, or TCP, which is beyond loopback only with TLS and client certificates.
+func (b *Board) listenWrite() (err error) {
+	set := b.set.Write
+	switch {
+	case set.Unix != "":
+		// A socket that a killed board left is in the way; the store's lock tells that no other board lives.
+		if info, err := os.Lstat(set.Unix); err == nil && info.Mode()&os.ModeSocket != 0 {
+			os.Remove(set.Unix)
+		}
+		if b.write, err = net.Listen("unix", set.Unix); err == nil {
+			err = os.Chmod(set.Unix, 0o600)
+		}
+	case set.TLS == nil && !set.TCP.Addr().IsLoopback():
+		err = fmt.Errorf("%v is not loopback, and there is no TLS", set.TCP)
+	default:
+		b.write, err = net.Listen("tcp", set.TCP.String())
+		if err == nil && set.TLS != nil {
+			var c *tls.Config
+			if c, err = serverTLS(set.TLS.Certificate, set.TLS.Key, set.TLS.Clients); err == nil {
+				b.write = tls.NewListener(b.write, c)
+			}
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("write side: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/world", b.getWorld)
+	mux.HandleFunc("GET /v1/history", b.getHistory)
+	mux.HandleFunc("GET /v1/applies", b.getApplies)
+	mux.HandleFunc("GET /v1/applies/{id}", b.getApply)
+	mux.HandleFunc("GET /v1/applies/{id}/before", b.getBefore)
+	mux.HandleFunc("POST /v1/applies", b.postApply)
+	mux.HandleFunc("POST /v1/applies/{id}/{order}", b.postOrder)
+	mux.HandleFunc("POST /v1/purges", b.postPurge)
+	b.server = &http.Server{Handler: b.guard(mux), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    slog.NewLogLogger(slog.Default().Handler(), slog.LevelInfo)}
+	return nil
+}
+
+func serverTLS(certificate, key, clients string) (*tls.Config, error) {
+	own, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(clients)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no certificate", clients)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{own}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool}, nil
+}
+
+type (
+	connKey struct{}
+	whoKey  struct{}
+)
+
+// guard turns away who may not call, and finds out who calls: the user behind a Unix socket, the name in a client's
+// certificate, or else the address. What a caller says of itself is kept beside that, marked as said.
+func (b *Board) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		who, err := b.identify(r)
+		if err != nil {
+			slog.Warn("write.not_allowed", "err", err)
+			fail(w, http.StatusForbidden, api.Error{Kind: api.NotAllowed, Message: err.Error()})
+			return
+		}
+		if said := r.Header.Get(api.WhoHeader); said != "" && len(said) <= 64 && !strings.ContainsFunc(said, func(c rune) bool { return c < ' ' || c > '~' }) {
+			who += " (says " + said + ")"
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), whoKey{}, who)))
+	})
+}
+
+func (b *Board) identify(r *http.Request) (string, error) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	if u, ok := conn.(*net.UnixConn); ok {
+		return unixPeer(u)
+	}
+	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
+		return r.TLS.PeerCertificates[0].Subject.CommonName, b.allowedWriter(r.RemoteAddr)
+	}
+	return r.RemoteAddr, b.allowedWriter(r.RemoteAddr)
+}
+
+func (b *Board) allowedWriter(remote string) error {
+	addr, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return err
+	}
+	ip := addr.Addr().Unmap()
+	if set := b.set.Write; set.Writers != nil && !set.Writers.Contains(ip) || set.Writers == nil && set.TLS == nil && !ip.IsLoopback() {
+		return fmt.Errorf("%v may not write here", ip)
+	}
+	return nil
+}
+
+func unixPeer(c *net.UnixConn) (string, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return "", err
+	}
+	var cred *unix.Ucred
+	var credErr error
+	if err := raw.Control(func(fd uintptr) { cred, credErr = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) }); err != nil {
+		return "", err
+	}
+	if credErr != nil {
+		return "", credErr
+	}
+	uid := strconv.Itoa(int(cred.Uid))
+	if u, err := user.LookupId(uid); err == nil {
+		return u.Username, nil
+	}
+	return "uid " + uid, nil
+}
+
+func who(r *http.Request) string {
+	s, _ := r.Context().Value(whoKey{}).(string)
+	return s
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		slog.Info("write.reply_lost", "err", err)
+	}
+}
+
+func fail(w http.ResponseWriter, status int, e api.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(e)
+}
+
+// failWith answers with what an error says of itself.
+func failWith(w http.ResponseWriter, err error) {
+	e := api.Error{Kind: api.Failed, Message: err.Error()}
+	status := http.StatusInternalServerError
+	var refusal *apply.Refusal
+	if errors.As(err, &refusal) {
+		e.Moved, e.Holder = refusal.Moved, refusal.Holder
+	}
+	switch {
+	case errors.Is(err, apply.ErrStale):
+		status, e.Kind = http.StatusConflict, api.Stale
+	case errors.Is(err, apply.ErrBusy):
+		status, e.Kind = http.StatusLocked, api.Busy
+	case errors.Is(err, plan.ErrDamaged):
+		status, e.Kind = http.StatusBadRequest, api.Damaged
+	case errors.Is(err, plan.ErrNewer):
+		status, e.Kind = http.StatusBadRequest, api.Newer
+	case errors.Is(err, errNoApply):
+		status, e.Kind = http.StatusNotFound, api.NotFound
+	case errors.Is(err, apply.ErrEnded), errors.Is(err, apply.ErrNotPaused), errors.Is(err, apply.ErrNotRunning), errors.Is(err, apply.ErrFenced):
+		status, e.Kind = http.StatusConflict, api.WrongState
+	}
+	fail(w, status, e)
+}
+
+func (b *Board) getWorld(w http.ResponseWriter, _ *http.Request) {
+	world := b.World()
+	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.feed.count(), ToldUpTo: b.feed.toldUpTo()}
+	err := b.store.View(func(v *store.View) (err error) {
+		out.Holder, err = v.Holder()
+		return err
+	})
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	reply(w, out)
+}
+
+func (b *Board) getHistory(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil || after < 0 {
+		after = 0
+	}
+	var out api.History
+	err = b.store.View(func(v *store.View) (err error) {
+		out.Events, err = v.Events(after, api.HistoryPage)
+		return err
+	})
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	reply(w, out)
+}
+
+func (b *Board) getApplies(w http.ResponseWriter, _ *http.Request) {
+	var out []apply.Record
+	err := b.store.View(func(v *store.View) (err error) {
+		out, err = v.Records()
+		return err
+	})
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	for i := range out { // the states of steps are kept apart; a record's count is that of its last change
+		if !out[i].Status.Ended() {
+			if now, _, _, err := b.exec.look(out[i].ID); err == nil {
+				out[i] = now
+			}
+		}
+	}
+	reply(w, out)
+}
+
+func applyID(r *http.Request) int64 {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return 0 // there is none
+	}
+	return id
+}
+
+func (b *Board) getApply(w http.ResponseWriter, r *http.Request) {
+	record, p, steps, err := b.exec.look(applyID(r))
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	out := api.Apply{Record: record, Steps: make([]api.Step, len(steps))}
+	for i, s := range steps {
+		out.Steps[i] = api.Step{ID: i + 1, What: p.Steps[i].String(), Thing: p.Steps[i].Thing(), Wait: p.Steps[i].Wait, StepState: s}
+	}
+	reply(w, out)
+}
+
+func (b *Board) getBefore(w http.ResponseWriter, r *http.Request) {
+	var out fleet.Wish
+	err := b.store.View(func(v *store.View) error {
+		found, err := v.Record(applyID(r))
+		if err != nil {
+			return err
+		}
+		if found == nil {
+			return errNoApply
+		}
+		out, err = v.Before(found.ID)
+		return err
+	})
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	reply(w, out)
+}
+
+func (b *Board) postApply(w http.ResponseWriter, r *http.Request) {
+	file, err := io.ReadAll(http.MaxBytesReader(w, r.Body, plan.MaxBytes))
+	if err != nil {
+		fail(w, http.StatusBadRequest, api.Error{Kind: api.Damaged, Message: "the plan did not come whole: " + err.Error()})
+		return
+	}
+	p, err := plan.Decode(file)
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	record, already, err := b.exec.submit(p, who(r))
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	reply(w, api.Accepted{Record: record, Already: already})
+}
+
+func (b *Board) postOrder(w http.ResponseWriter, r *http.Request) {
+	o := apply.Order(r.PathValue("order"))
+	if o != apply.OrderPause && o != apply.OrderResume && o != apply.OrderCancel {
+		fail(w, http.StatusNotFound, api.Error{Kind: api.NotFound, Message: fmt.Sprintf("no order is called %q", o)})
+		return
+	}
+	record, err := b.exec.obey(applyID(r), o, who(r))
+	if err != nil {
+		failWith(w, err)
+		return
+	}
+	reply(w, record)
+}
+
+func (b *Board) postPurge(w http.ResponseWriter, r *http.Request) {
+	var p fleet.Purge
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		fail(w, http.StatusBadRequest, api.Error{Kind: api.BadRequest, Message: "purge: " + err.Error()})
+		return
+	}
+	var no int64
+	var refused error
+	err := b.store.Do(func(t *store.Tx) (err error) {
+		p.IssuedMS = t.NowMS
+		e := fleet.Event{No: t.Fleet().Revision + 1, Who: who(r), Purge: &p}
+		if refused = t.Fleet().Check(e); refused != nil {
+			return refused
+		}
+		no, err = t.Append(e)
+		return err
+	})
+	switch {
+	case refused != nil:
+		fail(w, http.StatusBadRequest, api.Error{Kind: api.BadRequest, Message: refused.Error()})
+	case err != nil:
+		failWith(w, err)
+	default:
+		reply(w, api.Purged{No: no, IssuedMS: p.IssuedMS})
+	}
+}
--- /dev/null
+++ b/internal/board/feed.go
@@ -0,0 +1,247 @@
+package board
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"stairvane.org/stairvane/internal/board/history"
+	"stairvane.org/stairvane/internal/board/told"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/transport"
+)
+
+const (
+	mostFollowers = 8192
+	headWithin    = 10 * time.Second // for a call to come whole, and for one to come at all
+	refusedWithin = 2 * time.Second  // for a refused caller to read why
+	stuckQueue    = 16 << 20         // bytes that a follower may leave untaken
+)
+
+// feed serves the bulletin: one connection, one long poll, and no goroutine for any of them.
+type feed struct {
+	board     *Board
+	log       *history.Log
+	listener  *transport.Listener
+	followers map[*followerConn]struct{}
+	ids       int64
+	head      []byte
+
+	mu   sync.Mutex // tracker and last are read by the executor too
+	told *told.Tracker
+	last int64
+}
+
+func newFeed(b *Board, log *history.Log) (f *feed, err error) {
+	f = &feed{board: b, log: log, followers: map[*followerConn]struct{}{}, last: log.Last(),
+		told: told.New(b.store.Fleet().Rules().ToldWithinMS)}
+	f.listener, err = b.loop.Listen(b.set.Listen, func() transport.Handler { return &followerConn{feed: f} },
+		func(c *transport.Conn, h transport.Handler) { f.admit(c, h.(*followerConn)) })
+	return f, err
+}
+
+// allowed tells whether an address may follow.
+func (f *feed) allowed(a netip.Addr) bool {
+	if f.board.set.Followers == nil {
+		return a.IsLoopback()
+	}
+	return f.board.set.Followers.Contains(a)
+}
+
+func (f *feed) admit(conn *transport.Conn, c *followerConn) {
+	c.conn, c.peer = conn, conn.Peer().Addr().Unmap()
+	status := 0
+	switch {
+	case !f.allowed(c.peer):
+		status = 403
+		slog.Warn("follower.not_allowed", "addr", c.peer.String())
+	case len(f.followers) >= mostFollowers:
+		status = 503
+		slog.Warn("follower.turned_away", "followers", len(f.followers))
+	}
+	if status != 0 {
+		c.refuse(status)
+		return
+	}
+	f.ids++
+	c.id = f.ids
+	f.followers[c] = struct{}{}
+	f.mu.Lock()
+	f.told.Join(c.id, c.peer)
+	f.mu.Unlock()
+	c.timer.Fire = c.due
+	f.board.loop.Set(&c.timer, f.board.loop.Now()+headWithin)
+}
+
+// publish takes in durable events and answers those who wait.
+func (f *feed) publish(events []fleet.Event, after fleet.Fleet) {
+	if err := f.log.Add(events, after); err != nil { // a fault of the program: what was told can't be trusted to go on
+		slog.Error("board.history_broken", "err", err)
+		f.board.Stop()
+		return
+	}
+	f.mu.Lock()
+	f.last = f.log.Last()
+	f.mu.Unlock()
+	for c := range f.followers {
+		if c.waiting {
+			c.answer()
+		}
+	}
+	f.board.exec.wake()
+}
+
+// toldUpTo is the number up to which every director has all events.
+func (f *feed) toldUpTo() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told.Told(f.last, f.board.clock())
+}
+
+// count is how many follow.
+func (f *feed) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told.Len()
+}
+
+// followerConn is one connection of a director's.
+type followerConn struct {
+	feed    *feed
+	conn    *transport.Conn
+	peer    netip.Addr
+	id      int64
+	call    bulletin.Call
+	waiting bool
+	ended   bool
+	timer   transport.Timer
+}
+
+// Opened implements transport.Handler.
+func (c *followerConn) Opened() {}
+
+// Flushed implements transport.Handler.
+func (c *followerConn) Flushed() {}
+
+// Closed implements transport.Handler.
+func (c *followerConn) Closed(err error) {
+	if !errors.Is(err, io.EOF) && !c.ended {
+		slog.Info("follower.lost", "addr", c.peer.String(), "err", err)
+	}
+	c.timer.Stop()
+	c.leave()
+}
+
+func (c *followerConn) leave() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.timer.Stop()
+	f := c.feed
+	delete(f.followers, c)
+	f.mu.Lock()
+	f.told.Leave(c.id, f.last, f.board.clock())
+	f.mu.Unlock()
+	f.board.exec.wake()
+}
+
+// due ends a wait with what there is, or a connection on which no call comes.
+func (c *followerConn) due() {
+	if c.waiting {
+		c.answer()
+		return
+	}
+	c.conn.Close()
+	c.leave()
+}
+
+// Data implements transport.Handler.
+func (c *followerConn) Data(b []byte) (used, need int, err error) {
+	if c.ended {
+		return len(b), 0, nil
+	}
+	if c.waiting {
+		slog.Info("follower.malformed", "addr", c.peer.String(), "err", "a second call before the answer to the first")
+		c.leave()
+		c.refuse(400)
+		return len(b), 0, nil
+	}
+	call, used, need, err := bulletin.ParseCall(b)
+	var refused *bulletin.CallError
+	if errors.As(err, &refused) {
+		slog.Info("follower.malformed", "addr", c.peer.String(), "err", refused.Message)
+		c.leave()
+		c.refuse(refused.Status)
+		return len(b), 0, nil
+	}
+	if used == 0 {
+		return 0, need, nil
+	}
+	c.call = call
+	c.ask()
+	return used, 0, nil
+}
+
+// refuse answers with an error and ends the connection once that is taken.
+func (c *followerConn) refuse(status int) {
+	c.ended = true
+	body := []byte(`{"no":0,"items":[]}`)
+	c.conn.Write(bulletin.AppendHead(nil, status, len(body), true), body)
+	c.conn.CloseAfterFlush()
+	c.timer.Fire = c.conn.Close // if it does not close itself
+	c.feed.board.loop.Set(&c.timer, c.feed.board.loop.Now()+refusedWithin)
+}
+
+func (c *followerConn) ask() {
+	f := c.feed
+	if c.call.After > f.log.Last() {
+		slog.Warn("follower.ahead", "addr", c.peer.String(), "after", c.call.After, "last", f.log.Last())
+	}
+	f.mu.Lock()
+	f.told.Ack(c.id, c.call.After)
+	behind := c.call.After < f.last
+	f.mu.Unlock()
+	if !behind {
+		f.board.exec.wake()
+	}
+	c.waiting = true
+	if behind {
+		c.answer()
+		return
+	}
+	f.board.loop.Set(&c.timer, f.board.loop.Now()+time.Duration(c.call.PatienceMS)*time.Millisecond)
+}
+
+// answer ends the wait with what is new, if anything is.
+func (c *followerConn) answer() {
+	f := c.feed
+	parts, size, err := f.log.Answer(c.call.After)
+	if err != nil {
+		slog.Error("board.history_broken", "err", err)
+		c.conn.Close()
+		c.leave()
+		return
+	}
+	if parts == nil {
+		empty := append(bulletin.Opening(max(f.log.Last(), 0)), bulletin.Closing...)
+		parts, size = [][]byte{empty}, len(empty)
+	}
+	c.waiting = false
+	f.head = bulletin.AppendHead(f.head[:0], 200, size, c.call.Close)
+	c.conn.Write(append([][]byte{f.head}, parts...)...)
+	switch {
+	case c.call.Close:
+		c.conn.CloseAfterFlush()
+	case c.conn.Queued() > stuckQueue:
+		slog.Warn("follower.stuck", "addr", c.peer.String(), "queued_bytes", c.conn.Queued())
+		c.conn.Close()
+		c.leave()
+		return
+	}
+	f.board.loop.Set(&c.timer, f.board.loop.Now()+headWithin)
+}
--- /dev/null
+++ b/internal/board/history/history.go
@@ -0,0 +1,167 @@
+// Package history turns the board's events into what followers are sent: what they have missed, or the whole list where
+// that is no longer kept. It is pure, and encodes each event once: answers are slices of what all followers share.
+package history
+
+import (
+	"fmt"
+
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+)
+
+// MaxAnswer bounds an answer in bytes; what is left over is in the next. A director takes 4 MB at most. The whole list
+// can't be divided: it holds about 20,000 boxes.
+const MaxAnswer = 1 << 20
+
+// Log is the kept part of the history, encoded.
+type Log struct {
+	first int64 // number of items[0]
+	items [][]byte
+	fleet fleet.Fleet
+	keep  int
+	cache map[int64]answer // by after, until the next event
+}
+
+type answer struct {
+	parts [][]byte
+	size  int
+}
+
+// New makes a log of events that begin with number first and lead to a fleet; keep is how many are held, at least.
+func New(first int64, events []fleet.Event, f fleet.Fleet, keep int) (*Log, error) {
+	l := &Log{first: first, fleet: f, keep: keep, cache: map[int64]answer{}}
+	return l, l.add(events)
+}
+
+// Last is the number of the last event.
+func (l *Log) Last() int64 { return l.fleet.Revision }
+
+// Add appends events, which lead to a fleet.
+func (l *Log) Add(events []fleet.Event, f fleet.Fleet) error {
+	l.fleet = f
+	clear(l.cache)
+	return l.add(events)
+}
+
+func (l *Log) add(events []fleet.Event) error {
+	for _, e := range events {
+		if e.No != l.first+int64(len(l.items)) {
+			return fmt.Errorf("history: event %d comes where %d is wanted", e.No, l.first+int64(len(l.items)))
+		}
+		item, err := bulletin.EncodeItem(Item(e))
+		if err != nil {
+			return fmt.Errorf("history: event %d: %w", e.No, err)
+		}
+		l.items = append(l.items, item)
+	}
+	if over := len(l.items) - l.keep; over > l.keep/2+1000 { // seldom, so that it costs little for each event
+		l.items = append([][]byte(nil), l.items[over:]...)
+		l.first += int64(over)
+	}
+	return nil
+}
+
+// Item is an event as directors are told it. What concerns the board alone is a change of no host.
+func Item(e fleet.Event) bulletin.Item {
+	switch {
+	case e.Purge != nil:
+		return purge(e.No, *e.Purge)
+	case e.Member != nil:
+		return bulletin.Item{Number: e.No, Roster: &bulletin.Roster{Sequence: e.No, Hosts: []bulletin.Host{host(e.Member)}}}
+	}
+	return bulletin.Item{Number: e.No, Roster: &bulletin.Roster{Sequence: e.No}}
+}
+
+func purge(no int64, p fleet.Purge) bulletin.Item {
+	return bulletin.Item{Number: no, Recall: &bulletin.Recall{Item: p.Object, Lot: p.Group, IssuedMS: float64(p.IssuedMS)}}
+}
+
+func host(m *fleet.Member) bulletin.Host {
+	return bulletin.Host{Name: m.Name, Dial: m.Address, Site: m.Site, Class: m.Class, Block: m.Block, Health: string(m.State),
+		Share: m.Serving, BornMS: float64(m.BornMS)}
+}
+
+// Answer is the body for a follower that has the events up to after, in parts that must not be changed; nil if there is
+// nothing newer. It is the same for all that ask alike.
+func (l *Log) Answer(after int64) (parts [][]byte, size int, err error) {
+	if after >= l.Last() {
+		return nil, 0, nil
+	}
+	if a, ok := l.cache[after]; ok {
+		return a.parts, a.size, nil
+	}
+	var items [][]byte
+	last := l.Last()
+	// The first answer a director gets carries the whole list, as does one to a director that was away for too long.
+	if after == 0 || after+1 < l.first {
+		items, err = l.whole(after)
+	} else {
+		items = l.items[after+1-l.first:]
+		sum := 0
+		for i, item := range items {
+			if sum += len(item) + 1; sum > MaxAnswer && i > 0 {
+				items, last = items[:i], after+int64(i)
+				break
+			}
+		}
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	a := answer{parts: make([][]byte, 0, 2*len(items)+2)}
+	a.parts = append(a.parts, bulletin.Opening(last))
+	for i, item := range items {
+		if i > 0 {
+			a.parts = append(a.parts, []byte{','})
+		}
+		a.parts = append(a.parts, item)
+	}
+	a.parts = append(a.parts, []byte(bulletin.Closing))
+	for _, p := range a.parts {
+		a.size += len(p)
+	}
+	if len(a.parts) > 16 { // one write takes few parts
+		joined := make([]byte, 0, a.size)
+		for _, p := range a.parts {
+			joined = append(joined, p...)
+		}
+		a.parts = [][]byte{joined}
+	}
+	l.cache[after] = a
+	return a.parts, a.size, nil
+}
+
+// whole is the list as it is now, under the number of its last change, among the purges that the follower lacks, which
+// keep theirs. A follower takes events by rising numbers alone.
+func (l *Log) whole(after int64) (items [][]byte, err error) {
+	list := func() error {
+		if l.fleet.RosterNo <= after {
+			return nil
+		}
+		r := &bulletin.Roster{Sequence: l.fleet.RosterNo, Whole: true}
+		for m := range l.fleet.Members() {
+			r.Hosts = append(r.Hosts, host(m))
+		}
+		b, err := bulletin.EncodeItem(bulletin.Item{Number: l.fleet.RosterNo, Roster: r})
+		items = append(items, b)
+		return err
+	}
+	listed := false
+	for _, p := range l.fleet.PurgesAfter(after) {
+		if p.No > l.fleet.RosterNo && !listed {
+			if err := list(); err != nil {
+				return nil, err
+			}
+			listed = true
+		}
+		b, err := bulletin.EncodeItem(purge(p.No, p.Purge))
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, b)
+	}
+	if !listed {
+		err = list()
+	}
+	return items, err
+}
--- /dev/null
+++ b/internal/board/store/store.go
@@ -0,0 +1,447 @@
+// Package store keeps the board's history and applies in one crash-safe file (bbolt). Every change is a transaction; those
+// that come together share one, and with it one sync of the disk. Each value carries a checksum and each event the hash of
+// the history before it, so that damage is told and never read as truth. It knows events and applies, and nobody who
+// listens.
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/blake3"
+	bolt "go.etcd.io/bbolt"
+
+	"stairvane.org/stairvane/internal/fleet"
+)
+
+// Errors of Open. What went wrong in detail is wrapped around them.
+var (
+	ErrDamaged = errors.New("the store is damaged")
+	ErrLocked  = errors.New("the store is held by another process")
+	ErrNewer   = errors.New("the store is of a newer version")
+	ErrClosed  = errors.New("the store is closed")
+)
+
+const (
+	version   = 1
+	sumLength = 8
+	lockWait  = 500 * time.Millisecond
+)
+
+// Buckets.
+var (
+	metaBucket   = []byte("meta")
+	eventBucket  = []byte("events")  // number: chained event
+	snapBucket   = []byte("snap")    // "fleet": the last snapshot
+	applyBucket  = []byte("applies") // id: record
+	planBucket   = []byte("plans")   // id: plan file
+	wishBucket   = []byte("before")  // id: the fleet as a wish, before the apply
+	stepBucket   = []byte("steps")   // id and step: state
+	planIDBucket = []byte("by-plan") // checksum of a plan: id of its last apply
+	buckets      = [][]byte{metaBucket, eventBucket, snapBucket, applyBucket, planBucket, wishBucket, stepBucket, planIDBucket}
+)
+
+// Points at which a test may kill the process, in their order.
+const (
+	BeforeCommit   = "before-commit"
+	AfterCommit    = "after-commit" // durable, nobody told
+	AfterNotice    = "after-notice"
+	BeforeSnapshot = "before-snapshot"
+	AfterSnapshot  = "after-snapshot"
+)
+
+// Options of a store. Zero values stand for what is in brackets.
+type Options struct {
+	SnapshotEvery int                 // events from one snapshot to the next (10,000)
+	Keep          int                 // events kept after a snapshot, for those who were away (0)
+	Batch         int                 // changes in one transaction, at most (256)
+	NoSync        bool                // for tests and measurements alone
+	Clock         func() int64        // Unix milliseconds (the system's)
+	Committed     func([]fleet.Event) // told of durable events, in order, before their changes return; must not call the store
+	At            func(point string)  // a test's kill point
+}
+
+// Store is an open store. Its methods are safe for concurrent use.
+type Store struct {
+	db       *bolt.DB
+	opt      Options
+	requests chan *request
+	stop     chan struct{}
+	stopped  chan struct{}
+	state    atomic.Pointer[state]
+	snapped  int64 // revision of the last snapshot
+	first    int64 // number of the first kept event; revision + 1 if there is none
+	tail     []fleet.Event
+}
+
+// state is what all committed transactions have led to.
+type state struct {
+	fleet fleet.Fleet
+	chain [32]byte
+}
+
+type request struct {
+	do   func(*Tx) error
+	done chan error
+}
+
+// chained is an event as it is stored.
+type chained struct {
+	Event []byte
+	Chain []byte
+}
+
+// snapshot is a fleet as it is stored.
+type snapshot struct {
+	Fleet fleet.Dump
+	Chain []byte
+}
+
+// Open opens or makes the store at a path. The error wraps ErrLocked, ErrDamaged or ErrNewer where it is one of them; the
+// file is then left as it is.
+func Open(path string, opt Options) (s *Store, err error) {
+	if opt.SnapshotEvery <= 0 {
+		opt.SnapshotEvery = 10_000
+	}
+	if opt.Batch <= 0 {
+		opt.Batch = 256
+	}
+	if opt.Clock == nil {
+		opt.Clock = func() int64 { return time.Now().UnixMilli() }
+	}
+	if opt.At == nil {
+		opt.At = func(string) {}
+	}
+	if opt.Committed == nil {
+		opt.Committed = func([]fleet.Event) {}
+	}
+	s = &Store{opt: opt, requests: make(chan *request, 4*opt.Batch), stop: make(chan struct{}), stopped: make(chan struct{})}
+	// A file that was cut short is met as a fault of the memory that it is mapped to, a flipped bit as a panic of the library.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%w: %v", ErrDamaged, r)
+		}
+		if err != nil {
+			if s.db != nil {
+				s.db.Close()
+			}
+			s, err = nil, fmt.Errorf("store %s: %w", path, err)
+		}
+	}()
+	if err = checkSize(path); err != nil {
+		return s, err
+	}
+	if s.db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait, NoSync: opt.NoSync, FreelistType: bolt.FreelistMapType}); err != nil {
+		switch {
+		case errors.Is(err, bolt.ErrTimeout):
+			err = ErrLocked
+		case errors.Is(err, bolt.ErrInvalid), errors.Is(err, bolt.ErrChecksum), errors.Is(err, bolt.ErrVersionMismatch):
+			err = fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+		return s, err
+	}
+	if err = s.db.Update(prepare); err != nil {
+		return s, err
+	}
+	if err = s.db.View(s.load); err != nil {
+		return s, err
+	}
+	go s.write()
+	return s, nil
+}
+
+// checkSize refuses a file that is shorter than its own head says, which no reader of mapped memory survives.
+func checkSize(path string) error {
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil || info.Size() == 0 {
+		return err
+	}
+	// bbolt's file format: two meta pages; after 16 bytes of page header come magic, version, page size, flags (4 bytes
+	// each), root (16), freelist (8), the count of pages in use (8), the transaction's number, a checksum.
+	const magic, header = 0xED0CDAED, 16
+	page := make([]byte, header+64)
+	most, pageSize := uint64(0), uint64(os.Getpagesize())
+	for i := range 2 {
+		n, _ := f.ReadAt(page, int64(i)*int64(pageSize))
+		if n < len(page) || binary.LittleEndian.Uint32(page[header:]) != magic {
+			continue
+		}
+		if size := uint64(binary.LittleEndian.Uint32(page[header+8:])); size >= 512 && size <= 1<<16 {
+			pageSize = size
+		}
+		if pages := binary.LittleEndian.Uint64(page[header+40:]); pages < 1<<40 {
+			most = max(most, pages*pageSize)
+		}
+	}
+	if most == 0 || uint64(info.Size()) < most {
+		return fmt.Errorf("%w: %d bytes long, %d are in use", ErrDamaged, info.Size(), most)
+	}
+	return nil
+}
+
+func prepare(tx *bolt.Tx) error {
+	meta := tx.Bucket(metaBucket)
+	fresh := meta == nil
+	for _, name := range buckets {
+		if !fresh && tx.Bucket(name) == nil {
+			return fmt.Errorf("%w: it lacks %s", ErrDamaged, name)
+		}
+		if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+			return err
+		}
+	}
+	if fresh {
+		return put(tx, metaBucket, []byte("version"), binary.BigEndian.AppendUint64(nil, version))
+	}
+	v, err := number(tx, "version")
+	switch {
+	case err != nil:
+		return err
+	case v > version:
+		return fmt.Errorf("%w: %d, this program reads %d", ErrNewer, v, version)
+	case v != version:
+		return fmt.Errorf("%w: version %d", ErrDamaged, v)
+	}
+	return nil
+}
+
+// load reads the last snapshot and the events after it, and looks at every other value once.
+func (s *Store) load(tx *bolt.Tx) error {
+	var st state
+	raw, err := get(tx, snapBucket, []byte("fleet"))
+	if err != nil {
+		return err
+	}
+	if raw != nil {
+		var snap snapshot
+		if err := decode(raw, &snap); err != nil {
+			return err
+		}
+		if st.fleet, err = fleet.Restore(snap.Fleet); err != nil {
+			return fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+		copy(st.chain[:], snap.Chain)
+	}
+	s.snapped, s.first = st.fleet.Revision, 0
+	if err := s.replay(tx, &st); err != nil {
+		return err
+	}
+	if s.first == 0 {
+		s.first = st.fleet.Revision + 1
+	}
+	s.state.Store(&st)
+	for _, name := range [][]byte{applyBucket, planBucket, wishBucket, stepBucket, planIDBucket, metaBucket} {
+		if err := tx.Bucket(name).ForEach(func(k, _ []byte) error {
+			_, err := get(tx, name, k)
+			return err
+		}); err != nil {
+			return err
+		}
+	}
+	return checkApplies(tx)
+}
+
+func (s *Store) replay(tx *bolt.Tx, st *state) error {
+	snapped, chain, last := st.fleet.Revision, [32]byte{}, int64(0)
+	c := tx.Bucket(eventBucket).Cursor()
+	for k, _ := c.First(); k != nil; k, _ = c.Next() {
+		raw, err := get(tx, eventBucket, k)
+		if err != nil {
+			return err
+		}
+		var stored chained
+		if err := decode(raw, &stored); err != nil {
+			return err
+		}
+		var e fleet.Event
+		if err := decode(stored.Event, &e); err != nil {
+			return err
+		}
+		no := int64(binary.BigEndian.Uint64(k))
+		if e.No != no || last != 0 && no != last+1 {
+			return fmt.Errorf("%w: event %d stands where %d is wanted", ErrDamaged, e.No, no)
+		}
+		if last == 0 {
+			s.first = no
+			copy(chain[:], stored.Chain)
+			if no == 1 {
+				chain = link([32]byte{}, stored.Event)
+			}
+		} else {
+			chain = link(chain, stored.Event)
+		}
+		if [32]byte(stored.Chain) != chain || no == snapped && chain != st.chain {
+			return fmt.Errorf("%w: event %d does not follow the history before it", ErrDamaged, no)
+		}
+		if no > snapped {
+			if st.fleet, err = st.fleet.Apply(e); err != nil {
+				return fmt.Errorf("%w: %w", ErrDamaged, err)
+			}
+			st.chain = chain
+		}
+		s.tail = append(s.tail, e)
+		last = no
+	}
+	if last != 0 && last < snapped {
+		return fmt.Errorf("%w: events end at %d, before the snapshot at %d", ErrDamaged, last, snapped)
+	}
+	return nil
+}
+
+// link is the hash of a history with one more event.
+func link(chain [32]byte, event []byte) [32]byte {
+	h := blake3.New()
+	h.Write(chain[:])
+	h.Write(event)
+	return [32]byte(h.Sum(nil))
+}
+
+// Tail are the events that were kept, as they were found at Open. It may be taken once.
+func (s *Store) Tail() (first int64, events []fleet.Event) {
+	events, s.tail = s.tail, nil
+	return s.first, events
+}
+
+// Fleet is the state after the last durable event.
+func (s *Store) Fleet() fleet.Fleet { return s.state.Load().fleet }
+
+// Chain is the hash of the whole history.
+func (s *Store) Chain() [32]byte { return s.state.Load().chain }
+
+// Do runs a change and returns once it is durable. Changes run one after the other; what one has written is dropped if
+// it returns an error, which Do returns.
+func (s *Store) Do(f func(*Tx) error) error {
+	r := &request{do: f, done: make(chan error, 1)}
+	select {
+	case s.requests <- r:
+	case <-s.stop:
+		return ErrClosed
+	}
+	select {
+	case err := <-r.done:
+		return err
+	case <-s.stopped:
+		select {
+		case err := <-r.done:
+			return err
+		default:
+			return ErrClosed
+		}
+	}
+}
+
+// View runs a reader on what is durable.
+func (s *Store) View(f func(*View) error) error {
+	return s.db.View(func(tx *bolt.Tx) error { return f(&View{tx}) })
+}
+
+// Close ends the store; changes that have not begun fail.
+func (s *Store) Close() error {
+	close(s.stop)
+	<-s.stopped
+	return s.db.Close()
+}
+
+// write is the one writer.
+func (s *Store) write() {
+	defer close(s.stopped)
+	for {
+		select {
+		case <-s.stop:
+			return
+		case r := <-s.requests:
+			batch := []*request{r}
+			for len(batch) < s.opt.Batch {
+				select {
+				case r = <-s.requests:
+					batch = append(batch, r)
+					continue
+				default:
+				}
+				break
+			}
+			s.commit(batch)
+			if s.Fleet().Revision-s.snapped >= int64(s.opt.SnapshotEvery) {
+				s.snapshot()
+			}
+		}
+	}
+}
+
+func (s *Store) commit(batch []*request) {
+	next := *s.state.Load()
+	var events []fleet.Event
+	results := make([]error, len(batch))
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		for i, r := range batch {
+			t := &Tx{View: View{tx}, NowMS: s.opt.Clock(), state: next}
+			if results[i] = r.do(t); results[i] != nil {
+				continue
+			}
+			for _, p := range t.puts {
+				if err := put(tx, p.bucket, p.key, p.value); err != nil {
+					return err
+				}
+			}
+			next = t.state
+			events = append(events, t.events...)
+		}
+		s.opt.At(BeforeCommit)
+		return nil
+	})
+	if err == nil {
+		s.state.Store(&next)
+		s.opt.At(AfterCommit)
+		if len(events) > 0 {
+			s.opt.Committed(events)
+		}
+		s.opt.At(AfterNotice)
+	}
+	for i, r := range batch {
+		if results[i] == nil && err != nil {
+			results[i] = fmt.Errorf("store: not written: %w", err)
+		}
+		r.done <- results[i]
+	}
+}
+
+// snapshot keeps the state as a whole and drops the events that only those need who were away for long. If it fails, the
+// events stay, and it is tried again later.
+func (s *Store) snapshot() {
+	st := s.state.Load()
+	s.opt.At(BeforeSnapshot)
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		raw, err := fleet.Encode(snapshot{Fleet: st.fleet.Dump(), Chain: st.chain[:]})
+		if err != nil {
+			return err
+		}
+		if err := put(tx, snapBucket, []byte("fleet"), raw); err != nil {
+			return err
+		}
+		c := tx.Bucket(eventBucket).Cursor()
+		for k, _ := c.First(); k != nil && int64(binary.BigEndian.Uint64(k)) <= st.fleet.Revision-int64(s.opt.Keep); k, _ = c.Next() {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err == nil {
+		s.snapped = st.fleet.Revision
+	}
+	s.opt.At(AfterSnapshot)
+}
--- /dev/null
+++ b/internal/board/store/tx.go
@@ -0,0 +1,317 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/blake3"
+	bolt "go.etcd.io/bbolt"
+
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/fleet/apply"
+	"stairvane.org/stairvane/internal/fleet/plan"
+)
+
+// View reads what is durable.
+type View struct{ tx *bolt.Tx }
+
+// Tx is a change. What it writes is seen by later changes once it has returned without an error.
+type Tx struct {
+	View
+	NowMS  int64
+	state  state
+	events []fleet.Event
+	puts   []pair
+}
+
+type pair struct{ bucket, key, value []byte }
+
+func (t *Tx) put(bucket, key, value []byte) { t.puts = append(t.puts, pair{bucket, key, value}) }
+
+// Fleet is the state that the change builds on, with the events that it has appended.
+func (t *Tx) Fleet() fleet.Fleet { return t.state.fleet }
+
+// Append adds an event to the history; its number and time are set here.
+func (t *Tx) Append(e fleet.Event) (no int64, err error) {
+	e.No, e.AtMS = t.state.fleet.Revision+1, t.NowMS
+	next, err := t.state.fleet.Apply(e)
+	if err != nil {
+		return 0, err
+	}
+	raw, err := fleet.Encode(e)
+	if err != nil {
+		return 0, fmt.Errorf("store: %w", err)
+	}
+	t.state.fleet, t.state.chain = next, link(t.state.chain, raw)
+	stored, err := fleet.Encode(chained{Event: raw, Chain: bytes.Clone(t.state.chain[:])})
+	if err != nil {
+		return 0, fmt.Errorf("store: %w", err)
+	}
+	t.put(eventBucket, id(e.No), stored)
+	t.events = append(t.events, e)
+	return e.No, nil
+}
+
+// Create keeps a new apply with its plan and what the fleet was before, takes the lease, and numbers both.
+func (t *Tx) Create(r apply.Record, planFile []byte, before fleet.Wish) (apply.Record, error) {
+	last, err := number(t.tx, "last-apply")
+	if err != nil {
+		return r, err
+	}
+	r.ID = last + 1
+	t.put(metaBucket, []byte("last-apply"), id(r.ID))
+	if r, err = t.Lease(r); err != nil {
+		return r, err
+	}
+	wish, err := fleet.Encode(before)
+	if err != nil {
+		return r, fmt.Errorf("store: %w", err)
+	}
+	t.put(planBucket, id(r.ID), planFile)
+	t.put(wishBucket, id(r.ID), wish)
+	t.put(planIDBucket, []byte(r.PlanSum), id(r.ID))
+	return r, nil
+}
+
+// Lease takes or takes over the lease for an apply under a new epoch; whoever holds an older one is fenced off.
+func (t *Tx) Lease(r apply.Record) (apply.Record, error) {
+	epoch, err := number(t.tx, "epoch")
+	if err != nil {
+		return r, err
+	}
+	r.Epoch = epoch + 1
+	t.put(metaBucket, []byte("epoch"), id(r.Epoch))
+	t.put(metaBucket, []byte("holder"), id(r.ID))
+	return r, t.SetRecord(r)
+}
+
+// Hold leaves the lease with an apply that took it in this same change.
+func (t *Tx) Hold(r apply.Record) { t.put(metaBucket, []byte("holder"), id(r.ID)) }
+
+// Fence fails with apply.ErrFenced unless the apply has the lease under this epoch.
+func (t *Tx) Fence(r apply.Record) error {
+	holder, err := number(t.tx, "holder")
+	if err != nil {
+		return err
+	}
+	epoch, err := number(t.tx, "epoch")
+	if err != nil {
+		return err
+	}
+	if holder != r.ID || epoch != r.Epoch {
+		return &apply.Refusal{Err: apply.ErrFenced, Detail: fmt.Sprintf("apply %d in epoch %d; it is apply %d's in epoch %d", r.ID, r.Epoch, holder, epoch)}
+	}
+	return nil
+}
+
+// SetRecord keeps a record. One that has ended gives the lease back.
+func (t *Tx) SetRecord(r apply.Record) error {
+	raw, err := fleet.Encode(r)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	t.put(applyBucket, id(r.ID), raw)
+	if r.Status.Ended() {
+		t.put(metaBucket, []byte("holder"), id(0))
+	}
+	return nil
+}
+
+// SetStep keeps the state of a step.
+func (t *Tx) SetStep(applyID int64, step int, s apply.StepState) error {
+	raw, err := fleet.Encode(s)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	t.put(stepBucket, stepKey(applyID, step), raw)
+	return nil
+}
+
+// Holder is the apply that has the lease; nil if there is none.
+func (v *View) Holder() (*apply.Record, error) {
+	n, err := number(v.tx, "holder")
+	if err != nil || n == 0 {
+		return nil, err
+	}
+	return v.Record(n)
+}
+
+// Record is an apply's record; nil if there is none.
+func (v *View) Record(applyID int64) (*apply.Record, error) {
+	raw, err := get(v.tx, applyBucket, id(applyID))
+	if err != nil || raw == nil {
+		return nil, err
+	}
+	r := &apply.Record{}
+	return r, decode(raw, r)
+}
+
+// Records are all applies, in order.
+func (v *View) Records() (all []apply.Record, err error) {
+	last, err := number(v.tx, "last-apply")
+	if err != nil {
+		return nil, err
+	}
+	for n := int64(1); n <= last; n++ {
+		r, err := v.Record(n)
+		if err != nil {
+			return nil, err
+		}
+		if r == nil {
+			return nil, fmt.Errorf("%w: apply %d is missing", ErrDamaged, n)
+		}
+		all = append(all, *r)
+	}
+	return all, nil
+}
+
+// ByPlan is the last apply of a plan; nil if there is none.
+func (v *View) ByPlan(sum string) (*apply.Record, error) {
+	raw, err := get(v.tx, planIDBucket, []byte(sum))
+	if err != nil || raw == nil {
+		return nil, err
+	}
+	return v.Record(int64(binary.BigEndian.Uint64(raw)))
+}
+
+// Plan is the plan file of an apply.
+func (v *View) Plan(applyID int64) ([]byte, error) {
+	raw, err := get(v.tx, planBucket, id(applyID))
+	if err == nil && raw == nil {
+		err = fmt.Errorf("store: apply %d has no plan", applyID)
+	}
+	return bytes.Clone(raw), err
+}
+
+// Before is what the fleet was, as a wish, when an apply began.
+func (v *View) Before(applyID int64) (w fleet.Wish, err error) {
+	raw, err := get(v.tx, wishBucket, id(applyID))
+	if err != nil {
+		return w, err
+	}
+	if raw == nil {
+		return w, fmt.Errorf("store: there is no apply %d", applyID)
+	}
+	return w, decode(raw, &w)
+}
+
+// Machine builds the state machine of an apply from what is durable.
+func (v *View) Machine(r apply.Record) (*apply.Machine, error) {
+	raw, err := v.Plan(r.ID)
+	if err != nil {
+		return nil, err
+	}
+	p, err := plan.Decode(raw)
+	if err != nil {
+		return nil, fmt.Errorf("apply %d: %w", r.ID, err)
+	}
+	states := make([]apply.StepState, len(p.Steps))
+	for i := range states {
+		states[i].Phase = apply.Pending
+		raw, err := get(v.tx, stepBucket, stepKey(r.ID, i+1))
+		if err != nil {
+			return nil, err
+		}
+		if raw != nil {
+			if err := decode(raw, &states[i]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return apply.New(r, p, states)
+}
+
+// Events are kept events after a number, at most so many, as they are stored.
+func (v *View) Events(after int64, most int) (events []fleet.Event, err error) {
+	c := v.tx.Bucket(eventBucket).Cursor()
+	for k, _ := c.Seek(id(after + 1)); k != nil && len(events) < most; k, _ = c.Next() {
+		raw, err := get(v.tx, eventBucket, k)
+		if err != nil {
+			return nil, err
+		}
+		var stored chained
+		var e fleet.Event
+		if err := decode(raw, &stored); err != nil {
+			return nil, err
+		}
+		if err := decode(stored.Event, &e); err != nil {
+			return nil, err
+		}
+		events = append(events, e)
+	}
+	return events, nil
+}
+
+// checkApplies looks for applies and states that are missing.
+func checkApplies(tx *bolt.Tx) error {
+	v := &View{tx}
+	if _, err := v.Records(); err != nil {
+		return err
+	}
+	holder, err := v.Holder()
+	if err != nil || holder == nil {
+		return err
+	}
+	m, err := v.Machine(*holder)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	if holder.StepsDone > m.Record.StepsDone {
+		return fmt.Errorf("%w: apply %d has lost states of steps", ErrDamaged, holder.ID)
+	}
+	return nil
+}
+
+func id(n int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(n)) }
+
+func stepKey(applyID int64, step int) []byte {
+	return binary.BigEndian.AppendUint32(id(applyID), uint32(step))
+}
+
+func number(tx *bolt.Tx, key string) (int64, error) {
+	raw, err := get(tx, metaBucket, []byte(key))
+	if err != nil || raw == nil {
+		return 0, err
+	}
+	if len(raw) != 8 {
+		return 0, fmt.Errorf("%w: %s is no number", ErrDamaged, key)
+	}
+	return int64(binary.BigEndian.Uint64(raw)), nil
+}
+
+// checksum binds a value to its place, so that what stands in the wrong one is damage too.
+func checksum(bucket, key, value []byte) []byte {
+	h := blake3.New()
+	h.Write(bucket)
+	h.Write([]byte{0})
+	h.Write(key)
+	h.Write([]byte{0})
+	h.Write(value)
+	return h.Sum(nil)[:sumLength]
+}
+
+func put(tx *bolt.Tx, bucket, key, value []byte) error {
+	return tx.Bucket(bucket).Put(key, append(bytes.Clone(value), checksum(bucket, key, value)...))
+}
+
+// get reads a value, which is valid until the transaction ends; nil if there is none.
+func get(tx *bolt.Tx, bucket, key []byte) ([]byte, error) {
+	raw := tx.Bucket(bucket).Get(key)
+	if raw == nil {
+		return nil, nil
+	}
+	n := len(raw) - sumLength
+	if n < 0 || !bytes.Equal(raw[n:], checksum(bucket, key, raw[:n])) {
+		return nil, fmt.Errorf("%w: the value of %s %x is not as it was written", ErrDamaged, bucket, key)
+	}
+	return raw[:n:n], nil
+}
+
+func decode(raw []byte, v any) error {
+	if err := cbor.Unmarshal(raw, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return nil
+}
--- a/internal/fleet/apply/apply.go
+++ b/internal/fleet/apply/apply.go
@@ -231,6 +231,7 @@
 	}
 	a, b := *is, *want
 	a.BornMS, b.BornMS = 0, 0
+	a.Running, b.Running = false, false
 	return a == b
 }
 
--- a/internal/fleet/constraints.go
+++ b/internal/fleet/constraints.go
@@ -72,8 +72,8 @@
 	return s
 }
 
-// LocationSlacks measures the constraints of one location. One without load is not open yet, and one without warm caches
-// has lost all: what is cold there can only help, so that the cold rules do not count.
+// LocationSlacks measures the constraints of one location. One without load is not open yet, and where a
+// single cache is all there is no other way: the cold rules do not count there.
 func (w World) LocationSlacks(name string) (all []Slack) {
 	l := w.Location(name)
 	if l == nil {
@@ -91,7 +91,7 @@
 	if len(s.caches)+len(l.Sources) > 0 {
 		all = append(all, w.sourceSlack(l))
 	}
-	if s.warm == 0 || l.Load == 0 {
+	if s.warm == 0 && len(s.caches) == 1 || l.Load == 0 {
 		return all
 	}
 	if len(s.colds) > 1 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,7 @@
 	Class   string  `json:"class"`
 	Block   int     `json:"block"`
 	Share   float64 `json:"share"`
+	Running bool    `json:"running,omitempty"` // it ran, warm, before it was added; of no meaning later
 }
 
 // Member is a box in the fleet. Serving is the share that directors are told: less than Share while a cold box enters.
@@ -49,6 +50,9 @@
 	BornMS  int64   `json:"born_ms"` // when it was put in service late; 0: it was there from the start, warm
 }
 
+// StartsCold tells whether a box that is put in service is cold at first.
+func (b Box) StartsCold() bool { return b.Role != Origin && !b.Running }
+
 // Location is a depot: its caches' site, what must stay in service, what its clients ask for, and where its misses are
 // filled from. Floor and Load are in units of share.
 type Location struct {
@@ -302,7 +306,7 @@
 
 func (f *Fleet) addPurge(p PurgeMark, nowMS int64) {
 	if f.purgeMarks == nil {
-		f.purgeMarks = &immutable.List[PurgeMark]{}
+		f.purgeMarks = immutable.NewList[PurgeMark]()
 	}
 	l, from := f.purgeMarks, 0
 	for from < l.Len() && l.Get(from).IssuedMS < nowMS-PurgeKeepMS {
--- a/internal/fleet/fleettest/fleettest.go
+++ b/internal/fleet/fleettest/fleettest.go
@@ -39,6 +39,7 @@
 		// Few names and fewer addresses, so that boxes are replaced under their name and at their address.
 		b := fleet.Box{Name: fmt.Sprintf("c-%d", i), Role: fleet.Cache, Class: "std", Share: float64(rapid.IntRange(1, 4).Draw(t, "share")),
 			Site: rapid.SampledFrom(sites).Draw(t, "site"), Address: fmt.Sprintf("10.1.0.%d:1", rapid.IntRange(0, 1).Draw(t, "at")*50+i%4)}
+		b.Running = rapid.IntRange(0, 7).Draw(t, "running") == 0
 		if !slices.ContainsFunc(w.Boxes, func(o fleet.Box) bool { return o.Address == b.Address }) {
 			w.Boxes = append(w.Boxes, b)
 		}
@@ -114,7 +115,7 @@
 		if caches+len(l.Sources) > 0 && sources == 0 {
 			all["source "+l.Name] = 1
 		}
-		if l.Load == 0 || warm == 0 {
+		if l.Load == 0 || warm == 0 && (death != "" || caches == 1) {
 			continue
 		}
 		if most := w.Rules().ColdMost * capacity; death == "" && n > 1 && cold > most+1e-9 {
--- a/internal/fleet/plan/diff.go
+++ b/internal/fleet/plan/diff.go
@@ -98,6 +98,7 @@
 
 func sameBox(a, b fleet.Box) bool {
 	a.Share, b.Share = 0, 0
+	a.Running, b.Running = false, false
 	return a == b
 }
 
@@ -110,7 +111,7 @@
 	}
 	d.nodes.join(home(b), home(b))
 	c := d.put(&change{Step: Step{Kind: Add, Wait: Warm, Member: &fleet.Member{Box: *b, State: fleet.InService, Serving: b.Share}}, urge: urgeAdd})
-	if b.Role == fleet.Origin {
+	if !b.StartsCold() {
 		c.Wait = Told
 	}
 	d.adds[b.Name] = c
--- a/internal/fleet/plan/ledger.go
+++ b/internal/fleet/plan/ledger.go
@@ -338,9 +338,12 @@
 			return func() { p.cold[i] = was }
 		}
 	case Add:
+		p.caches++
+		if !c.Member.StartsCold() {
+			return func() { p.caches-- }
+		}
 		p.cold = append(p.cold, coldBox{c.Member.Name, c.Member.Share, c.Member.Serving})
 		p.capacity += c.Member.Share
-		p.caches++
 		return func() {
 			p.cold = p.cold[:len(p.cold)-1]
 			p.capacity -= c.Member.Share
@@ -411,7 +414,7 @@
 	switch c.Kind {
 	case Add:
 		s.role, s.share, s.enters = c.Member.Role, c.Member.Share, c.Member.Serving
-		s.cold = s.role == fleet.Hub
+		s.cold = c.Member.StartsCold()
 	case Drain:
 		s.serving, s.cold = 0, false
 	case Raise, Lower:
@@ -457,7 +460,11 @@
 	}
 	switch c.Kind {
 	case Add:
-		p.cold = slices.Delete(p.cold, i, i+1)
+		if i >= 0 {
+			p.cold = slices.Delete(p.cold, i, i+1)
+		} else {
+			p.capacity += c.Member.Share
+		}
 		p.warm.add(c.Member.Serving)
 	case Raise, Lower:
 		if i >= 0 {
--- a/internal/fleet/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -57,7 +57,7 @@
 	e := fleet.Event{No: no, AtMS: nowMS, Who: who, Apply: apply, Step: s.ID, Location: s.Location, Rules: s.Rules, Gone: s.Kind == Forget}
 	if s.Member != nil {
 		m := *s.Member
-		if s.Kind == Add && m.Role != fleet.Origin {
+		if s.Kind == Add && m.StartsCold() {
 			m.BornMS = nowMS
 		}
 		e.Member = &m
@@ -91,6 +91,9 @@
 		if s.Member.Serving != s.Member.Share {
 			share = fmt.Sprintf("share %.4g of %.4g at first", s.Member.Serving, s.Member.Share)
 		}
+		if s.Member.Running {
+			share += ", running already"
+		}
 		return fmt.Sprintf("add %s %s at %s in %s, %s", s.Member.Role, s.Member.Name, s.Member.Address, s.Member.Site, share)
 	case Raise, Lower:
 		return fmt.Sprintf("%s %s from share %.4g to %.4g", s.Kind, s.Member.Name, s.Before.Serving, s.Member.Serving)
--- a/internal/fleet/plan/schedule.go
+++ b/internal/fleet/plan/schedule.go
@@ -292,7 +292,7 @@
 func (s *scheduler) squeeze(b *book, q *queue) []*change {
 	for _, part := range entering {
 		for c := range q.all {
-			if c.Kind != Add || c.Member.Role == fleet.Origin {
+			if c.Kind != Add || !c.Member.StartsCold() {
 				continue
 			}
 			full := c.Member
--- a/internal/opfile/fleet.go
+++ b/internal/opfile/fleet.go
@@ -36,6 +36,7 @@
 	block              int
 	role               fleet.Role
 	hasShare, hasBlock bool
+	running            bool
 	broken             bool // its template is not known: what it lacks is no fault of its own
 }
 
@@ -200,6 +201,11 @@
 		{name: "site", read: r.text(&b.site)},
 		{name: "pool", read: r.text(&b.pool)},
 		{name: "share", read: func(n *sexpr.Node, args []*sexpr.Node, key string) { b.hasShare = true; share(n, args, key) }},
+		{name: "running", read: func(n *sexpr.Node, args []*sexpr.Node, key string) {
+			if b.running = true; len(args) > 0 {
+				r.fault(n, key, "nothing follows it: the box runs, warm, before it is added")
+			}
+		}},
 		{name: "block", read: func(n *sexpr.Node, args []*sexpr.Node, key string) { b.hasBlock = true; block(n, args, key) }},
 	}, more...))
 }
@@ -296,6 +302,7 @@
 	if b.pool == "" {
 		b.pool = t.pool
 	}
+	b.running = b.running || t.running
 	if !b.hasShare {
 		b.share, b.hasShare = t.share, t.hasShare
 	}
@@ -340,7 +347,7 @@
 			r.fault(b.node, b.key+".at", "address %v is not in pool %s", b.at.Addr(), strings.Join(pools, " or "))
 		}
 		r.wish.Boxes = append(r.wish.Boxes, fleet.Box{Name: b.name, Role: b.role, Address: b.at.String(), Site: b.site,
-			Class: b.class, Block: b.block, Share: b.share})
+			Class: b.class, Block: b.block, Share: b.share, Running: b.running})
 	}
 	if len(r.faults) > 0 {
 		return // what follows would only tell their consequences
--- /dev/null
+++ b/internal/protocol/bulletin/serve_test.go
@@ -0,0 +1,80 @@
+package bulletin
+
+import (
+	"errors"
+	"testing"
+)
+
+func TestCallsInAnyPieces(t *testing.T) {
+	text := string(AppendRequest(nil, "127.0.0.1:8500", 41, 7000))
+	for n := range len(text) {
+		if _, used, need, err := ParseCall([]byte(text[:n])); used != 0 || err != nil || need <= n {
+			t.Fatalf("%q: used %d, need %d, %v", text[:n], used, need, err)
+		}
+	}
+	c, used, _, err := ParseCall([]byte(text + "GET"))
+	if err != nil || used != len(text) || c != (Call{After: 41, PatienceMS: MaxPatienceMS}) {
+		t.Fatalf("%+v, used %d, %v", c, used, err)
+	}
+}
+
+func TestCallsThatAreRefused(t *testing.T) {
+	for text, status := range map[string]int{
+		"GET /bulletins HTTP/1.1\r\nContent-Length: 3\r\n\r\n":    400,
+		"GET /bulletins HTTP/1.1\r\nTransfer-Encoding: x\r\n\r\n": 400,
+		"GET /bulletins?after=-1 HTTP/1.1\r\n\r\n":                400,
+		"GET /bulletins HTTP/1.1\r\nno colon\r\n\r\n":             400,
+		"GET /bulletins HTTP/1.1\r\nA : b\r\n\r\n":                400,
+		"POST /bulletins HTTP/1.1\r\n\r\n":                        405,
+		"GET /other HTTP/1.1\r\n\r\n":                             404,
+		"hello\r\n\r\n":                                           400,
+		string(make([]byte, maxCall+1)):                           431,
+	} {
+		var e *CallError
+		if _, used, _, err := ParseCall([]byte(text)); !errors.As(err, &e) || e.Status != status || used != 0 {
+			t.Errorf("%.40q: %v", text, err)
+		}
+	}
+}
+
+// What the server writes the director's reader reads.
+func TestItemsAreReadBack(t *testing.T) {
+	lot := 17
+	var body []byte
+	body = append(body, Opening(43)...)
+	for i, item := range []Item{
+		{Number: 41, Roster: &Roster{Sequence: 7, Hosts: []Host{{Name: "s-1", Dial: "10.1.0.9:9090", Site: "east", Class: "std", Block: 2, Health: "in_service", Share: 4, BornMS: 1764576000123}}}},
+		{Number: 42, Recall: &Recall{Item: "7f3a9c21e0b4d655", IssuedMS: 1764576000123}},
+		{Number: 43, Recall: &Recall{Lot: &lot, IssuedMS: 1764576000480}},
+	} {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		b, err := EncodeItem(item)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body = append(body, b...)
+	}
+	body = append(body, Closing...)
+	answer := append(AppendHead(nil, 200, len(body), false), body...)
+	r, used, _, err := ParseResponse(answer)
+	if err != nil || used != len(answer) {
+		t.Fatal(err, used)
+	}
+	f, err := Decode(r.Body)
+	if err != nil || f.Last != 43 || len(f.Items) != 3 || f.Items[0].Roster.Hosts[0].BornMS != 1764576000123 ||
+		f.Items[1].Recall.Item != "7f3a9c21e0b4d655" || *f.Items[2].Recall.Lot != 17 || f.Items[2].Recall.IssuedMS != 1764576000480 {
+		t.Errorf("%v %s", err, r.Body)
+	}
+}
+
+func FuzzParseCall(f *testing.F) {
+	f.Add([]byte("GET /bulletins?after=3&patience=2000 HTTP/1.1\r\nHost: x\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, used, need, err := ParseCall(b)
+		if used > len(b) || err == nil && used == 0 && need <= len(b) || c.After < 0 || c.PatienceMS > MaxPatienceMS {
+			t.Errorf("%+v, used %d, need %d of %d", c, used, need, len(b))
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,142 @@
+// Package standin is the one place for stand-ins: caches that answer everything at once and note what they were asked,
+// and clients that put a steady load on a director. They serve tests and quick starts; they are no models of real boxes.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"stairvane.org/stairvane/internal/protocol/resp"
+)
+
+// Order is one attempt that came to a cache.
+type Order struct {
+	ID, Source string
+	At         time.Time
+}
+
+// Cache answers every order with a small copy, and pings.
+type Cache struct {
+	listener net.Listener
+	mu       sync.Mutex
+	orders   []Order
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+// NewCache listens at an address; port 0 picks one.
+func NewCache(address string) (*Cache, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in cache: %w", err)
+	}
+	c := &Cache{listener: l, conns: map[net.Conn]bool{}}
+	go c.accept()
+	return c, nil
+}
+
+// Addr is where it listens.
+func (c *Cache) Addr() string { return c.listener.Addr().String() }
+
+// Orders are all that has come so far.
+func (c *Cache) Orders() []Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Order(nil), c.orders...)
+}
+
+// Close is the death of the process: it listens no more and its connections break.
+func (c *Cache) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.listener.Close()
+	for conn := range c.conns {
+		conn.Close()
+	}
+}
+
+func (c *Cache) accept() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		if c.closed {
+			conn.Close()
+		}
+		c.conns[conn] = true
+		c.mu.Unlock()
+		go c.serve(conn)
+	}
+}
+
+func (c *Cache) serve(conn net.Conn) {
+	defer func() {
+		conn.Close()
+		c.mu.Lock()
+		delete(c.conns, conn)
+		c.mu.Unlock()
+	}()
+	in, out := make([]byte, 0, 64<<10), bufio.NewWriter(conn)
+	var words resp.Words
+	for {
+		if len(in) == cap(in) {
+			in = append(make([]byte, 0, 2*cap(in)), in...)
+		}
+		n, err := conn.Read(in[len(in):cap(in)])
+		if err != nil {
+			return
+		}
+		in = in[:len(in)+n]
+		for {
+			w, used, _, err := resp.Parse(in, words)
+			if words = w; err != nil {
+				return
+			}
+			if used == 0 {
+				break
+			}
+			c.answer(out, w)
+			in = in[:copy(in, in[used:])]
+		}
+		if out.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (c *Cache) answer(out io.Writer, w resp.Words) {
+	if len(w) < 2 {
+		return
+	}
+	var b []byte
+	switch string(w[0]) {
+	case "ping":
+		b = resp.AppendBulk(resp.AppendBulk(resp.AppendHead(nil, 2), w[1]), "UP")
+	case "do":
+		if len(w) < 3 {
+			return
+		}
+		o := Order{ID: string(w[1]), At: time.Now()}
+		for _, pair := range strings.Split(string(w[2]), ",") {
+			if name, value, _ := strings.Cut(pair, "="); name == "up" {
+				o.Source = value
+			}
+		}
+		c.mu.Lock()
+		c.orders = append(c.orders, o)
+		c.mu.Unlock()
+		b = resp.AppendBulk(resp.AppendBulk(resp.AppendHead(nil, 4), w[1]), "OK")
+		b = resp.AppendBulk(b, "n=local,rev=1,since="+strconv.FormatInt(o.At.UnixMilli(), 10))
+		b = resp.AppendBulk(b, "copy of "+c.Addr())
+	}
+	_, _ = out.Write(b)
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -83,6 +83,16 @@
 	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
 }
 
+// Peer is the address of the other end; not valid once the connection has ended.
+func (c *Conn) Peer() netip.AddrPort {
+	sa, err := unix.Getpeername(c.fd)
+	if err != nil || c.closed {
+		return netip.AddrPort{}
+	}
+	addr, _ := addrPort(sa)
+	return addr
+}
+
 // LastUse is when bytes last went either way.
 func (c *Conn) LastUse() time.Duration { return c.lastUse }
 
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -55,13 +55,17 @@
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("getsockname: %w", err)
 	}
+	return addrPort(sa)
+}
+
+func addrPort(sa unix.Sockaddr) (netip.AddrPort, error) {
 	switch a := sa.(type) {
 	case *unix.SockaddrInet4:
 		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
 	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)), nil
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port)), nil
 	}
-	return netip.AddrPort{}, errors.New("getsockname: unknown family")
+	return netip.AddrPort{}, errors.New("unknown family of address")
 }
 
 // Close takes in what the system has accepted already, then stops listening.
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -33,6 +34,8 @@
 	queued  int
 	posts   chan func()
 	stopped bool
+	ended   chan struct{} // closed when nothing will run any more
+	wakeMu  sync.Mutex    // Post and the end: a descriptor that is closed may be another's by then
 }
 
 // NewLoop makes a loop. Only Post may be called from other goroutines.
@@ -49,7 +52,7 @@
 	start := time.Now()
 	l := &Loop{
 		epoll: epoll, wake: wake, sources: map[int]source{}, origin: start,
-		offset: time.Duration(start.UnixNano()), scratch: make([]byte, readSpace), posts: make(chan func(), 16),
+		offset: time.Duration(start.UnixNano()), scratch: make([]byte, readSpace), posts: make(chan func(), 16), ended: make(chan struct{}),
 	}
 	l.refresh()
 	l.wheel.done = int64(l.now / Tick)
@@ -74,9 +77,20 @@
 // Queued is how many bytes all connections together hold because their peers do not take them.
 func (l *Loop) Queued() int { return l.queued }
 
-// Post runs f on the loop. It is the one way in for other goroutines.
+// Post runs f on the loop, unless that has ended. It is the one way in for other goroutines.
 func (l *Loop) Post(f func()) {
-	l.posts <- f
+	select {
+	case l.posts <- f:
+	case <-l.ended:
+		return
+	}
+	l.wakeMu.Lock()
+	defer l.wakeMu.Unlock()
+	select {
+	case <-l.ended:
+		return
+	default:
+	}
 	one := [8]byte{1}
 	_, _ = unix.Write(l.wake, one[:]) // full means that a wake-up is already due
 }
@@ -146,6 +160,9 @@
 }
 
 func (l *Loop) release() {
+	l.wakeMu.Lock()
+	close(l.ended)
+	l.wakeMu.Unlock()
 	l.closeNow()
 	for fd := range l.sources {
 		if fd != l.wake {
@@ -155,3 +172,6 @@
 	unix.Close(l.wake)
 	unix.Close(l.epoll)
 }
+
+// Release gives up a loop that never ran.
+func (l *Loop) Release() { l.release() }
