--- a/cmd/stairvane-fleet/board.go
+++ b/cmd/stairvane-fleet/board.go
@@ -10,7 +10,8 @@
 )
 
 type boardCmd struct {
-	Config string `arg:"" type:"path" help:"The program's file, as deploy/stairvane.scm."`
+	Config      string `arg:"" type:"path" help:"The program's file, as deploy/stairvane.scm."`
+	AcceptOlder bool   `help:"Open a store one of whose two heads can't be read; its last change may be lost."`
 }
 
 // Run serves until SIGTERM or SIGINT.
@@ -21,7 +22,7 @@
 	if len(faults) > 0 {
 		return faults
 	}
-	b, err := board.New(set.Board, board.Options{})
+	b, err := board.New(set.Board, board.Options{AcceptOlder: c.AcceptOlder})
 	if err != nil {
 		return err
 	}
--- a/internal/board/api/api.go
+++ b/internal/board/api/api.go
@@ -103,6 +103,7 @@
 	http *http.Client
 	base string
 	who  string
+	path string
 }
 
 // Credentials are files in PEM for a board that asks for TLS.
@@ -115,6 +116,7 @@
 	path, unix := strings.CutPrefix(at, "unix:")
 	switch {
 	case unix:
+		client.path = path
 		t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{Timeout: 5 * time.Second}).DialContext(ctx, "unix", path)
 		}
@@ -212,3 +214,6 @@
 	}
 	return out, c.call("POST", "/v1/purges", body, &out)
 }
+
+// Path is the Unix socket that the client calls; empty for one that calls over TCP.
+func (c *Client) Path() string { return c.path }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -21,10 +21,11 @@
 	"stairvane.org/stairvane/internal/transport"
 )
 
-// Options are for tests; the zero value is the system's clock and no kill points.
+// Options beside the operator's file. Clock and At are for tests; the zero value is the system's clock and no kill points.
 type Options struct {
-	Clock func() int64
-	At    func(point string)
+	Clock       func() int64
+	At          func(point string)
+	AcceptOlder bool // see store.Options
 }
 
 // Board is one board process.
@@ -61,7 +62,7 @@
 		return b, err
 	}
 	if b.store, err = store.Open(set.Store, store.Options{SnapshotEvery: set.SnapshotEvery, Keep: set.Keep, Batch: set.Batch,
-		Clock: b.clock, Committed: b.committed, At: opt.At}); err != nil {
+		Clock: b.clock, Committed: b.committed, At: opt.At, AcceptOlder: opt.AcceptOlder}); err != nil {
 		return b, err
 	}
 	first, tail := b.store.Tail()
--- a/internal/board/feed.go
+++ b/internal/board/feed.go
@@ -165,13 +165,10 @@
 	if c.ended {
 		return len(b), 0, nil
 	}
-	if c.waiting {
-		slog.Info("follower.malformed", "addr", c.peer.String(), "err", "a second call before the answer to the first")
-		c.leave()
-		c.refuse(400)
-		return len(b), 0, nil
-	}
 	call, used, need, err := bulletin.ParseCall(b)
+	if err == nil && (c.waiting || used > 0 && used < len(b)) {
+		err = &bulletin.CallError{Status: 400, Message: "a second call before the answer to the first"}
+	}
 	var refused *bulletin.CallError
 	if errors.As(err, &refused) {
 		slog.Info("follower.malformed", "addr", c.peer.String(), "err", refused.Message)
--- a/internal/fleet/constraints.go
+++ b/internal/fleet/constraints.go
@@ -25,7 +25,7 @@
 	Thing      string // the location, or the cold box, that it is about
 	Have, Need float64
 	Slack      float64
-	Raw        float64 // of a floor: share in service with cold boxes and without any death
+	Raw        float64 // the same without exemptions; of a floor: share in service with cold boxes and without any death
 	Dying      string  // the box whose death is the worst case; may be empty
 }
 
@@ -107,17 +107,19 @@
 // coldSlack splits the location's load by the shares that directors are told.
 func (w World) coldSlack(l *Location, s sums, b *Member) Slack {
 	worst := Slack{Constraint: ColdBears, Thing: b.Name, Need: w.Rules().Cache.Bears(b.Share), Have: l.Load * b.Serving / s.serving}
+	raw := worst.Have
 	for _, m := range s.caches {
-		if !w.IsCold(m) && s.warm-m.Serving <= 0 {
-			continue // the only warm one: without it the location is not open
+		rest := s.serving - m.Serving
+		if m == b || rest <= 0 {
+			continue
 		}
-		if rest := s.serving - m.Serving; m != b && rest > 0 {
-			if asked := l.Load * b.Serving / rest; asked > worst.Have {
-				worst.Have, worst.Dying = asked, m.Name
-			}
+		asked := l.Load * b.Serving / rest
+		raw = max(raw, asked)
+		if only := !w.IsCold(m) && s.warm-m.Serving <= 0; !only && asked > worst.Have { // without the only warm one it is not open
+			worst.Have, worst.Dying = asked, m.Name
 		}
 	}
-	worst.Slack = worst.Need - worst.Have
+	worst.Slack, worst.Raw = worst.Need-worst.Have, worst.Need-raw
 	return worst
 }
 
@@ -253,9 +255,13 @@
 }
 
 // Worse tells whether a constraint that does not hold after a step is that step's doing: it held before, or held better,
-// or share was taken from a location that is under its floor.
+// or share was taken from a location that is under its floor. A step that only ends an exemption, as a second warm cache
+// does where one was all, makes nothing worse.
 func (s Slack) Worse(before Slack, was bool) bool {
-	return less(s.Slack, 0) && (!was || less(s.Slack, before.Slack) || less(s.Raw, before.Raw))
+	if !less(s.Slack, 0) || was && less(before.Raw, s.Raw) {
+		return false
+	}
+	return !was || less(s.Slack, before.Slack) || less(s.Raw, before.Raw)
 }
 
 // Admit tells what an event would break: constraints that do not hold after it and held, or held better, before. A
--- a/internal/fleet/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -133,6 +133,9 @@
 			if s.Kind == SetRules { // what the constraints are is the operator's
 				return
 			}
+			if s.Kind == Add && s.Member.Running { // more warm share only helps, though it may end an exemption
+				return
+			}
 			for _, d := range deaths {
 				was := fleettest.Broken(before, d)
 				for what, by := range fleettest.Broken(after, d) {
