--- a/cmd/stairvane-fleet/cli.go
+++ b/cmd/stairvane-fleet/cli.go
@@ -20,7 +20,7 @@
 	Board    boardCmd    `cmd:"" help:"Run the board that keeps the fleet and carries out plans."`
 	Validate validateCmd `cmd:"" help:"Check the operator's files."`
 	Fmt      fmtCmd      `cmd:"" help:"Write the operator's files in the one form, comments kept."`
-	Plan     planCmd     `cmd:"" help:"Plan the way from the board's world to a wished fleet. Ends with 0: nothing to change, 2: changes, 7: impossible."`
+	Plan     planCmd     `cmd:"" help:"Plan the way from the board's world to a wished fleet. Ends with 0: nothing to change, 2: changes, 1: an error, or no order keeps the constraints."`
 	Show     showCmd     `cmd:"" help:"Show a plan file."`
 	Apply    applyCmd    `cmd:"" help:"Have the board carry out a plan. Ends with 0: done, 3: stale, 4: another apply is under way, 6: it stopped."`
 	Applies  appliesCmd  `cmd:"" help:"List applies; show, pause, resume or cancel one."`
@@ -83,7 +83,7 @@
 	ctx, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errOut, "stairvane:", err)
-		return exitUsage
+		return exitFailed
 	}
 	return statusOf(ctx.Run(), errOut)
 }
@@ -104,7 +104,6 @@
 	}
 	fmt.Fprintln(errOut, "stairvane:", err)
 	var refused *api.Error
-	var impossible *plan.Impossible
 	switch {
 	case errors.As(err, &refused) && refused.Kind == api.Stale:
 		return exitStale
@@ -113,8 +112,6 @@
 	case errors.As(err, &refused) && (refused.Kind == api.Damaged || refused.Kind == api.Newer),
 		errors.Is(err, plan.ErrDamaged), errors.Is(err, plan.ErrNewer):
 		return exitDamaged
-	case errors.As(err, &impossible):
-		return exitImpossible
 	}
 	return exitFailed
 }
--- /dev/null
+++ b/cmd/stairvane-fleet/cli_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"stairvane.org/stairvane/internal/board"
+	"stairvane.org/stairvane/internal/opfile"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// call runs a command as a person would.
+func call(args ...string) (status int, out string) {
+	var o, e bytes.Buffer
+	status = runCommand(args, &o, &e)
+	return status, o.String() + e.String()
+}
+
+const wished = `(rules (cold (warm 0s)) (drain-settle 0s) (told-within 0s) (width 1))
+(template box (class std) (share 4) (running))
+(origin store (at 127.0.0.1:9) (site hub) (class origin) (share 40))
+(location west (floor 4) (sources store)
+  (cache c-1 (like box) (at 127.0.0.1:11))
+  (cache c-2 (like box) (at 127.0.0.1:12))
+  (cache c-3 (like box) (at 127.0.0.1:13)))
+`
+
+// The exit statuses and the one clear line of each refusal are part of what the commands promise.
+func TestStatusesAndRefusals(t *testing.T) {
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	put := func(name, text string) string {
+		t.Helper()
+		if err := os.WriteFile(path(name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path(name)
+	}
+	want := func(status int, line string, args ...string) {
+		t.Helper()
+		if got, out := call(args...); got != status || !strings.Contains(out, line) {
+			t.Errorf("%v: %d, want %d and %q:\n%s", args, got, status, line, out)
+		}
+	}
+	program := put("stairvane.scm", "(board (listen 127.0.0.1:0) (store board.db) (write (unix s)))")
+	set, faults := opfile.ReadProgram(program, os.ReadFile)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	t.Setenv("STAIRVANE_BOARD", "unix:"+path("s"))
+	fleet := put("fleet.scm", wished)
+	want(exitFailed, "board", "plan", fleet) // nobody is there
+	b, err := board.New(set.Board, board.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run() }()
+	defer func() {
+		b.Stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}()
+	want(exitChanges, "7 steps", "plan", "--wait", "10s", fleet, "--out", path("a.plan"))
+	want(exitDone, "add cache c-1", "show", path("a.plan"))
+	want(exitDone, `"kind": "add"`, "show", "-o", "json", path("a.plan"))
+	want(exitDone, "apply 1 is done", "apply", path("a.plan"))
+	want(exitDone, "carried out by apply 1; nothing changes", "apply", path("a.plan"))
+	want(exitDone, "nothing to change", "plan", fleet)
+
+	// The file is edited between plan and apply; comments and form alone do not make a plan stale.
+	drained := strings.Replace(wished, "  (cache c-2 (like box) (at 127.0.0.1:12))\n", "", 1)
+	put("fleet.scm", drained)
+	want(exitChanges, "drain cache c-2", "plan", fleet, "--out", path("b.plan"))
+	put("fleet.scm", wished)
+	want(exitStale, "edited since", "apply", path("b.plan"))
+	put("fleet.scm", "; a remark\n"+drained)
+
+	// Another plan moves the world; the older one is stale and says what moved.
+	put("other.scm", strings.Replace(drained, "(floor 4)", "(floor 3)", 1))
+	want(exitChanges, "locate west: floor 3", "plan", path("other.scm"), "--out", path("c.plan"))
+	want(exitDone, "is done", "apply", path("c.plan"))
+	want(exitStale, "location west was floor 4", "apply", path("b.plan"))
+	want(exitStale, `"thing": "location west"`, "apply", "-o", "json", path("b.plan"))
+
+	// One that is held up, another that comes meanwhile, and the orders.
+	put("slower.scm", strings.Replace(strings.Replace(drained, "(drain-settle 0s)", "(drain-settle 1h) (give-up 2h)", 1), "(floor 4)", "(floor 3)", 1))
+	want(exitChanges, "set the rules", "plan", path("slower.scm"), "--out", path("d.plan"))
+	want(exitDone, "is done", "apply", path("d.plan"))
+	held := strings.Replace(strings.Replace(drained, "(drain-settle 0s)", "(drain-settle 1h) (give-up 2h)", 1), "(floor 4)", "(floor 0)", 1)
+	put("held.scm", strings.Replace(held, "  (cache c-3 (like box) (at 127.0.0.1:13))", "", 1))
+	want(exitChanges, "drain cache c-3", "plan", path("held.scm"), "--out", path("e.plan"))
+	want(exitDone, "apply 4 is under way", "apply", "--detach", path("e.plan"))
+	want(exitBusy, "apply 4 of this same plan by", "apply", path("e.plan"))
+	want(exitBusy, "another apply is under way: apply 4 by", "apply", path("d.plan"))
+	want(exitFailed, "not paused", "applies", "resume", "4")
+	want(exitDone, "paused", "applies", "pause", "4")
+	want(exitStopped, "apply 4 is paused", "applies", "show", "--follow", "4")
+	want(exitBusy, "paused", "apply", path("d.plan"))
+	want(exitDone, "running", "applies", "resume", "4")
+	want(exitDone, "cancelled", "applies", "cancel", "4")
+	want(exitFailed, "the apply has ended", "applies", "cancel", "4")
+	want(exitFailed, "no such apply", "applies", "show", "77")
+	want(exitChanges, "back to what was before apply 4", "revert", "4", "--out", path("f.plan"))
+	want(exitDone, "is done", "apply", path("f.plan"))
+	want(exitDone, "in_service  127.0.0.1:13", "world")
+
+	// Damaged, newer, impossible, malformed.
+	file, err := os.ReadFile(path("a.plan"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file[len(file)/2] ^= 1
+	want(exitDamaged, "damaged", "apply", put("damaged.plan", string(file)))
+	want(exitDamaged, "newer version", "show", put("newer.plan", "stairvane-plan 9 1 x\n"))
+	put("low.scm", strings.Replace(wished, "(floor 4)", "(floor 9)", 1))
+	want(exitFailed, "floor 9 can't be kept", "plan", path("low.scm"))
+	put("swap.scm", strings.NewReplacer("(floor 4)", "(floor 5)", "c-1", "n-1", "c-2", "n-2", "c-3", "n-3").Replace(wished))
+	want(exitFailed, "no order of steps keeps the constraints", "plan", path("swap.scm"))
+	want(exitFailed, "unknown word", "validate", put("bad.scm", "(locatoin x)"))
+	want(exitFailed, `did you mean "location"?`, "validate", path("bad.scm"))
+	want(exitDone, path("fleet.scm"), "fmt", path("fleet.scm"))
+	want(exitDone, "", "fmt", "--check", path("fleet.scm"))
+	want(exitFailed, "unexpected", "aply")
+	want(exitDone, "purged by event", "purge", "--group", "7")
+	want(exitFailed, "not within 0 to 255", "purge", "--group", "700")
+	if status, out := call("version"); status != 0 || !strings.Contains(out, "plan files of version 1") {
+		t.Error(status, out)
+	}
+}
--- a/cmd/stairvane-fleet/main.go
+++ b/cmd/stairvane-fleet/main.go
@@ -12,15 +12,13 @@
 
 // Exit statuses, which are part of what the commands promise.
 const (
-	exitDone       = 0
-	exitFailed     = 1
-	exitChanges    = 2 // plan: there is something to change
-	exitStale      = 3 // apply: the plan is stale
-	exitBusy       = 4 // apply: another apply is under way
-	exitDamaged    = 5 // the plan file is damaged, or of a newer version
-	exitStopped    = 6 // apply: paused, cancelled or reverted before its end
-	exitImpossible = 7 // plan: no order keeps the constraints
-	exitUsage      = 64
+	exitDone    = 0
+	exitFailed  = 1 // also a plan that no order of steps allows, and a command line that can't be read
+	exitChanges = 2 // plan: there is something to change
+	exitStale   = 3 // apply: the plan is stale
+	exitBusy    = 4 // apply: another apply is under way
+	exitDamaged = 5 // the plan file is damaged, or of a newer version
+	exitStopped = 6 // apply: paused, cancelled or reverted before its end
 )
 
 func main() {
--- a/cmd/stairvane-fleet/plan.go
+++ b/cmd/stairvane-fleet/plan.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/google/renameio/v2"
 
@@ -18,8 +19,9 @@
 type planCmd struct {
 	boardAt
 	output
-	File string `arg:"" type:"path" help:"The file of the wished fleet."`
-	Out  string `type:"path" help:"Write the plan to this file, for apply."`
+	File string        `arg:"" type:"path" help:"The file of the wished fleet."`
+	Out  string        `type:"path" help:"Write the plan to this file, for apply."`
+	Wait time.Duration `help:"Wait so long for a board that is just starting."`
 }
 
 // Run plans here, against the world that the board tells; the board judges the plan again when it is applied.
@@ -29,6 +31,9 @@
 		return faults
 	}
 	w, err := c.world()
+	for end := time.Now().Add(c.Wait); err != nil && time.Now().Before(end); w, err = c.world() {
+		time.Sleep(followEvery)
+	}
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/board/bench_test.go
@@ -0,0 +1,159 @@
+package board
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/fleet"
+)
+
+// BenchmarkCommit is durable changes a second by 64 writers, with changes that come together sharing a sync, and with a
+// sync each.
+func BenchmarkCommit(b *testing.B) {
+	for _, batch := range []int{256, 1} {
+		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) {
+			s, err := store.Open(filepath.Join(b.TempDir(), "s"), store.Options{Batch: batch})
+			check(b, err)
+			defer s.Close()
+			b.SetParallelism(64 / runtime.GOMAXPROCS(0))
+			b.ResetTimer()
+			var n atomic.Int64
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := appendPurge(s, n.Add(1)); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "changes/s")
+		})
+	}
+}
+
+func appendPurge(s *store.Store, n int64) error {
+	return s.Do(func(t *store.Tx) error {
+		_, err := t.Append(fleet.Event{Who: "bench", Purge: &fleet.Purge{Object: fmt.Sprintf("%016x", n), IssuedMS: t.NowMS}})
+		return err
+	})
+}
+
+// BenchmarkTold is from a commit (when Do returns) to the moment at which every follower has asked for what comes after
+// it, over loopback, with all followers in this process.
+func BenchmarkTold(b *testing.B) {
+	for _, followers := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("followers=%d", followers), func(b *testing.B) {
+			set := settingsIn(b.TempDir())
+			board, _ := start(b, set)
+			addr, err := board.Addr()
+			check(b, err)
+			var acks atomic.Int64
+			for range followers {
+				conn, err := net.Dial("tcp", addr.String())
+				check(b, err)
+				defer conn.Close()
+				go followPlainly(conn, &acks)
+			}
+			until(b, "all follow", func() bool { return board.feed.count() == followers })
+			took := make([]time.Duration, 0, b.N)
+			goroutines := runtime.NumGoroutine()
+			b.ResetTimer()
+			for i := range b.N {
+				check(b, appendPurge(board.store, int64(i)))
+				from := time.Now()
+				last := board.store.Fleet().Revision
+				for board.feed.toldUpTo() < last {
+					time.Sleep(20 * time.Microsecond)
+				}
+				took = append(took, time.Since(from))
+			}
+			b.StopTimer()
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+			b.ReportMetric(float64(goroutines-followers), "own-goroutines")
+		})
+	}
+}
+
+// followPlainly asks again as soon as it is told.
+func followPlainly(conn net.Conn, acks *atomic.Int64) {
+	in := bufio.NewReader(conn)
+	after := int64(0)
+	for {
+		if _, err := fmt.Fprintf(conn, "GET /bulletins?after=%d&patience=5000 HTTP/1.1\r\nHost: x\r\n\r\n", after); err != nil {
+			return
+		}
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(res.Body)
+		if err != nil {
+			return
+		}
+		if _, err := fmt.Sscanf(string(body), `{"no":%d,`, &after); err != nil {
+			return
+		}
+		acks.Add(1)
+	}
+}
+
+// BenchmarkRecovery opens a store of 1,000,000 events that was left without a close, with a snapshot near its end and
+// without any. It takes minutes, so it runs only when it is asked for.
+func BenchmarkRecovery(b *testing.B) {
+	if os.Getenv("STAIRVANE_LONG") == "" {
+		b.Skip("set STAIRVANE_LONG=1")
+	}
+	const events = 1_000_000
+	for _, every := range []int{2 * events, 100_000} {
+		path := filepath.Join(b.TempDir(), "s")
+		s, err := store.Open(path, store.Options{NoSync: true, SnapshotEvery: every, Keep: 10_000, Batch: 1024})
+		check(b, err)
+		var n atomic.Int64
+		var wg sync.WaitGroup
+		for range 1024 {
+			wg.Go(func() {
+				for i := n.Add(1); i <= events; i = n.Add(1) {
+					if err := s.Do(func(t *store.Tx) error {
+						e := fleet.Event{Who: "bench", Member: &fleet.Member{State: fleet.InService, Serving: float64(i),
+							Box: fleet.Box{Name: fmt.Sprintf("c-%d", i%10_000), Address: fmt.Sprintf("10.0.0.0:%d", i%10_000), Role: fleet.Cache, Share: 4}}}
+						_, err := t.Append(e)
+						return err
+					}); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		}
+		wg.Wait()
+		check(b, s.Close())
+		info, err := os.Stat(path)
+		check(b, err)
+		b.Run(fmt.Sprintf("snapshot-every=%d", every), func(b *testing.B) {
+			for b.Loop() {
+				s, err := store.Open(path, store.Options{SnapshotEvery: every, Keep: 10_000})
+				check(b, err)
+				b.StopTimer()
+				if s.Fleet().Revision != events {
+					b.Fatal(s.Fleet().Revision)
+				}
+				check(b, s.Close())
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(info.Size())/(1<<20), "file-MB")
+		})
+	}
+}
--- a/internal/board/feed.go
+++ b/internal/board/feed.go
@@ -86,6 +86,7 @@
 	}
 	f.mu.Lock()
 	f.last = f.log.Last()
+	f.told.Within(after.Rules().ToldWithinMS)
 	f.mu.Unlock()
 	for c := range f.followers {
 		if c.waiting {
--- a/internal/board/store/store.go
+++ b/internal/board/store/store.go
@@ -317,6 +317,10 @@
 			st.chain = chain
 		}
 		s.tail = append(s.tail, e)
+		if most := s.opt.Keep + 1000; len(s.tail) > 2*most { // without a snapshot there may be a million
+			s.first += int64(len(s.tail) - most)
+			s.tail = append([]fleet.Event(nil), s.tail[len(s.tail)-most:]...)
+		}
 		last = no
 	}
 	if last != 0 && last < snapped {
--- /dev/null
+++ b/internal/board/tls_test.go
@@ -0,0 +1,116 @@
+package board
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/opfile"
+)
+
+// authority signs certificates into a folder.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.cert, a.key = a.issue(name, nil, nil)
+	return a
+}
+
+func (a *authority) issue(name string, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	check(a.t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: parent == nil, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	if parent == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	check(a.t, err)
+	cert, err := x509.ParseCertificate(der)
+	check(a.t, err)
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	check(a.t, err)
+	check(a.t, os.WriteFile(filepath.Join(a.dir, name+".crt"), pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	check(a.t, os.WriteFile(filepath.Join(a.dir, name+".key"), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw}), 0o600))
+	return cert, key
+}
+
+func (a *authority) file(name string) string { return filepath.Join(a.dir, name) }
+
+// Over TLS the board takes changes from callers with a certificate of its authority alone, over TLS 1.3 alone, and
+// records the certificate's name.
+func TestWriteSideOverTLS(t *testing.T) {
+	own, other := newAuthority(t, "ca"), newAuthority(t, "ca")
+	for _, name := range []string{"board", "anna"} {
+		own.issue(name, own.cert, own.key)
+	}
+	other.issue("mallory", other.cert, other.key)
+	set := settingsIn(t.TempDir())
+	set.Write = opfile.Write{TCP: loopback(), TLS: &opfile.TLS{Certificate: own.file("board.crt"), Key: own.file("board.key"), Clients: own.file("ca.crt")}}
+	b, err := New(set, Options{})
+	check(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run() }()
+	defer func() {
+		b.Stop()
+		check(t, <-ended)
+	}()
+	until(t, "the board runs", func() bool { return b.started.Load() })
+	purge := func(a *authority, name string) error {
+		c, err := api.NewClient(b.WriteAddr().String(), "", api.Credentials{Certificate: a.file(name + ".crt"), Key: a.file(name + ".key"), Authority: own.file("ca.crt")})
+		check(t, err)
+		_, err = c.Purge(fleet.Purge{Object: "00000000000000ff"})
+		return err
+	}
+	check(t, purge(own, "anna"))
+	if err := purge(other, "mallory"); err == nil {
+		t.Error("a strange certificate was taken")
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(own.cert)
+	pair, err := tls.LoadX509KeyPair(own.file("anna.crt"), own.file("anna.key"))
+	check(t, err)
+	for name, config := range map[string]*tls.Config{
+		"no certificate": {RootCAs: pool},
+		"TLS 1.2":        {RootCAs: pool, Certificates: []tls.Certificate{pair}, MaxVersion: tls.VersionTLS12},
+	} {
+		c := http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+		if res, err := c.Get("https://" + b.WriteAddr().String() + "/v1/world"); err == nil {
+			res.Body.Close()
+			t.Errorf("%s was taken", name)
+		}
+	}
+	var who []string
+	check(t, b.store.View(func(v *store.View) error {
+		events, err := v.Events(0, 10)
+		for _, e := range events {
+			who = append(who, e.Who)
+		}
+		return err
+	}))
+	if strings.Join(who, ",") != "anna" {
+		t.Errorf("%v", who)
+	}
+}
--- a/internal/board/told/told.go
+++ b/internal/board/told/told.go
@@ -30,6 +30,9 @@
 	return &Tracker{withinMS: withinMS, followers: map[int64]*follower{}}
 }
 
+// Within sets the time after which what a follower lacks that left counts as told.
+func (t *Tracker) Within(ms int64) { t.withinMS = ms }
+
 // Join takes in a connection, by a number of the caller's.
 func (t *Tracker) Join(id int64, addr netip.Addr) { t.followers[id] = &follower{addr: addr} }
 
