Serve on several cores by connection: news followed once, ids owned, stalls seen

Change: stairvane director FILE runs (cores N) loops; each accepts (SO_REUSEPORT), decides and keeps its own links. Shared are the news (a lock-free append-only list with a number, followed once, looked at before an attempt is written), the open ids, and the watch of stalled cores, which turns heartbeats bad; limits are divided; signals act on all cores and counters add up. On one core nothing stands between, and bin/stairvane is one core. Cause found on the way: a core that woke after 800 ms counted the drain's grace from its waking, and sent to a drained box 710 ms after the process was told. The moment of telling now goes with the news, for drains and purges alike.

--- a/cmd/stairvane-fleet/board.go
+++ b/cmd/stairvane-fleet/board.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -22,6 +23,9 @@
 	if len(faults) > 0 {
 		return faults
 	}
+	if !set.Board.Listen.IsValid() {
+		return fmt.Errorf("%s: (board ...) is missing", c.Config)
+	}
 	b, err := board.New(set.Board, board.Options{AcceptOlder: c.AcceptOlder})
 	if err != nil {
 		return err
--- a/cmd/stairvane-fleet/cli.go
+++ b/cmd/stairvane-fleet/cli.go
@@ -17,6 +17,7 @@
 
 // cli is the grammar of the command line.
 type cli struct {
+	Director directorCmd `cmd:"" help:"Run a director on as many cores as the program's file says (LB_CONFIG names its configuration)."`
 	Board    boardCmd    `cmd:"" help:"Run the board that keeps the fleet and carries out plans."`
 	Validate validateCmd `cmd:"" help:"Check the operator's files."`
 	Fmt      fmtCmd      `cmd:"" help:"Write the operator's files in the one form, comments kept."`
--- a/internal/board/bench_test.go
+++ b/internal/board/bench_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"stairvane.org/stairvane/internal/board/api"
 	"stairvane.org/stairvane/internal/board/store"
 	"stairvane.org/stairvane/internal/fleet"
 )
@@ -157,3 +158,40 @@
 		})
 	}
 }
+
+// BenchmarkApply carries out a plan of some 10,000 steps that wait for nothing: two durable transactions a step.
+func BenchmarkApply(b *testing.B) {
+	_, c := start(b, settingsIn(b.TempDir()))
+	rules := quickRules()
+	rules.Width = 64
+	wish := fleet.Wish{Rules: rules, Boxes: []fleet.Box{{Name: "store", Role: fleet.Origin, Address: "s:1", Site: "hub", Class: "origin", Share: 1e6}}}
+	for i := range 10_000 {
+		site := fmt.Sprintf("d-%03d", i/20)
+		if i%20 == 0 {
+			wish.Locations = append(wish.Locations, fleet.Location{Name: site, Floor: 8, Load: 8, Sources: []string{"store"}})
+		}
+		wish.Boxes = append(wish.Boxes, fleet.Box{Name: fmt.Sprintf("c-%05d", i), Role: fleet.Cache, Address: fmt.Sprintf("%d:1", i), Site: site, Class: "k", Share: 4, Running: true})
+	}
+	file := planTo(b, c, wish)
+	b.ResetTimer()
+	for range b.N {
+		a, err := c.Submit(file)
+		check(b, err)
+		for {
+			all, err := c.Applies()
+			check(b, err)
+			if now := all[a.ID-1]; now.Status != "running" {
+				check(b, statusError(mustApply(b, c, a.ID)))
+				b.ReportMetric(float64(now.Steps), "steps")
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func mustApply(b *testing.B, c *api.Client, id int64) api.Apply {
+	a, err := c.Apply(id)
+	check(b, err)
+	return a
+}
--- a/internal/board/store/tx.go
+++ b/internal/board/store/tx.go
@@ -293,7 +293,9 @@
 }
 
 func put(tx *bolt.Tx, bucket, key, value []byte) error {
-	return tx.Bucket(bucket).Put(key, append(bytes.Clone(value), checksum(bucket, key, value)...))
+	b := tx.Bucket(bucket)
+	b.FillPercent = 0.9 // events come in the order of their keys
+	return b.Put(key, append(bytes.Clone(value), checksum(bucket, key, value)...))
 }
 
 // get reads a value, which is valid until the transaction ends; nil if there is none.
--- a/internal/opfile/program.go
+++ b/internal/opfile/program.go
@@ -39,13 +39,22 @@
 	Misses         int // pings in a row without an answer after which a box counts as not reachable
 }
 
+// Director is what the program's file says of the director. On one core its path is what it is without the file.
+type Director struct {
+	Cores  int
+	Divide string // connection: what a core accepts it decides and carries
+}
+
 // Program is what the program's file says.
-type Program struct{ Board Board }
+type Program struct {
+	Board    Board
+	Director Director
+}
 
 // ReadProgram reads the program's file.
 func ReadProgram(name string, read ReadFile) (Program, sexpr.Faults) {
 	d := &decoder{}
-	p := Program{Board: Board{SnapshotEvery: 10_000, Keep: 10_000, Batch: 256}}
+	p := Program{Board: Board{SnapshotEvery: 10_000, Keep: 10_000, Batch: 256}, Director: Director{Cores: 1, Divide: "connection"}}
 	text, err := read(name)
 	if err != nil {
 		return p, sexpr.Faults{{File: name, Line: 1, Col: 1, Message: "can't be read: " + err.Error()}}
@@ -60,7 +69,18 @@
 			items = append(items, n)
 		}
 	}
-	d.forms(top, "", items, []form{{name: "board", need: len(faults) == 0, read: d.board(&p.Board, filepath.Dir(name))}})
+	if len(items) == 0 && len(faults) == 0 {
+		d.fault(top, "", "nothing is set: (board ...) or (director ...) is wanted")
+	}
+	d.forms(top, "", items, []form{
+		{name: "board", read: d.board(&p.Board, filepath.Dir(name))},
+		{name: "director", read: func(n *sexpr.Node, args []*sexpr.Node, key string) {
+			d.forms(n, key+".", args, []form{
+				{name: "cores", read: d.integer(&p.Director.Cores, 1, 256)},
+				{name: "divide", read: d.choice(&p.Director.Divide, "connection")},
+			})
+		}},
+	})
 	return p, d.faults
 }
 
--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -109,7 +109,7 @@
 		}
 	case thrift.Heartbeat:
 		c.front.Counts.Heartbeats++
-		good := !c.front.leaving && c.front.director.Ready()
+		good := !c.front.leaving && c.front.director.Ready() && (c.front.well == nil || c.front.well())
 		head, tail := thrift.AppendAnswer(c.front.head[:0], c.front.tail[:0], thrift.Heartbeat, call.Seq, 0, good)
 		c.conn.Write(head, tail)
 		c.front.head, c.front.tail = head, tail
--- a/internal/program/feed.go
+++ b/internal/program/feed.go
@@ -34,6 +34,7 @@
 	retry    time.Duration
 	failing  bool
 	request  []byte
+	publish  func(bulletin.Feed) // to the other cores; nil: there are none
 }
 
 func newFeed(loop *transport.Loop, d *routing.Director, addr netip.AddrPort) *feed {
@@ -119,6 +120,9 @@
 		f.failing = false
 		slog.Info("bulletin.back", "at", f.last)
 	}
+	if f.publish != nil && len(news.Items) > 0 {
+		f.publish(news) // first: the others need not wait for this core
+	}
 	f.take(news)
 	if r.Close {
 		f.conn.Close()
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -52,6 +52,7 @@
 	head        []byte // reused by every answer
 	tail        []byte
 	sweep       transport.Timer
+	well        func() bool // whether all cores are; nil: there is one
 }
 
 func newFront(loop *transport.Loop, d *routing.Director, listen netip.AddrPort, most int, idle time.Duration, memory int) (*front, error) {
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -39,10 +39,13 @@
 	config   config.Config // of the start
 	leave    transport.Timer
 	emptyAt  time.Duration
+	core     *core // nil where it is the only one
 }
 
 // New builds a director: it listens when New returns and serves in Run.
-func New(c config.Config) (*Program, error) {
+func New(c config.Config) (*Program, error) { return newProgram(c, nil) }
+
+func newProgram(c config.Config, own *core) (*Program, error) {
 	loop, err := transport.NewLoop()
 	if err != nil {
 		return nil, err
@@ -71,16 +74,28 @@
 	clients := c.Sockets/3 + c.Sockets/20
 	limits.LinksPerHost = min(mostLinks, max(1, (c.Sockets-clients-spareSockets)/likelyHosts))
 
+	p := &Program{loop: loop, config: c, core: own}
+	if own != nil {
+		own.join(p, &limits)
+	}
 	links := &caches{loop: loop, report: reportMap(c.Pools.Reports)}
 	d := routing.New(loop, s, c.Seed, limits, links)
-	p := &Program{loop: loop, director: d, config: c}
+	p.director = d
 	d.Start()
 	p.feed = newFeed(loop, d, c.Bulletin)
+	if own != nil {
+		p.feed.publish = own.publish
+	}
 	p.feed.take(c.Known)
 	if p.front, err = newFront(loop, d, c.Listen, clients, idle, c.MemoryMB<<20); err != nil {
 		return nil, err
 	}
-	p.feed.connect()
+	if own == nil || own.index == 0 {
+		p.feed.connect()
+	}
+	if own != nil {
+		own.start(p)
+	}
 	p.leave.Fire = p.leaveIfDone
 	return p, nil
 }
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -28,6 +28,7 @@
 	spare   []*alarm
 	pings   int64 // made so far
 	upkeep  transport.Timer
+	told    time.Duration // see Told
 }
 
 // upkeepEvery paces the closing of idle links and the forgetting of purges.
@@ -75,6 +76,17 @@
 	d.loop.Set(&d.upkeep, d.loop.Now()+upkeepEvery)
 }
 
+// Told says that the lists and purges that follow were told at a time that has passed, until it is called with 0: the
+// graces of the rules count from there, also on a core that was stalled meanwhile.
+func (d *Director) Told(at time.Duration) { d.told = at }
+
+func (d *Director) toldAt() time.Duration {
+	if d.told > 0 {
+		return d.told
+	}
+	return d.loop.Now()
+}
+
 // Open is how many requests are owed an answer.
 func (d *Director) Open() int { return d.open }
 
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -24,7 +24,7 @@
 
 // UpdateHosts takes in a list, or what has changed of one.
 func (d *Director) UpdateHosts(version int64, whole bool, members []Member) {
-	now := d.loop.Now()
+	now := d.toldAt()
 	d.Counts.Lists++
 	t := stairvane.Topology{Kind: stairvane.ListChanges, Version: version}
 	if whole {
@@ -180,6 +180,9 @@
 
 // sendWaiting sends what waits, in order, as far as links have room.
 func (h *host) sendWaiting() {
+	if refresh := h.director.limits.Refresh; refresh != nil && len(h.waiting) > 0 {
+		refresh()
+	}
 	for _, a := range slices.Clone(h.waiting) {
 		if a.ended {
 			continue
--- a/internal/routing/purges.go
+++ b/internal/routing/purges.go
@@ -7,8 +7,9 @@
 	"stairvane.org/stairvane"
 )
 
-// purge is one purge: copies given out before issued are void, and told is when this director heard of it.
-type purge struct{ issued, told time.Duration }
+// purge is one purge: copies given out before issued are void; told is when the process heard of it, and heard when this
+// core did, which is later where it was stalled.
+type purge struct{ issued, told, heard time.Duration }
 
 // purges holds those that may still matter, by object and by group.
 type purges struct {
@@ -24,7 +25,7 @@
 func (d *Director) PurgeObject(object stairvane.ObjectID, issued time.Duration) {
 	now := d.loop.Now()
 	d.Counts.Purges++
-	d.purges.objects[object] = append(d.purges.objects[object], purge{issued, now})
+	d.purges.objects[object] = append(d.purges.objects[object], purge{issued, d.toldAt(), now})
 	d.feed(stairvane.Invalidated{Object: object, Age: max(0, now-issued)})
 }
 
@@ -32,7 +33,7 @@
 func (d *Director) PurgeGroup(group int, issued time.Duration) {
 	now := d.loop.Now()
 	d.Counts.Purges++
-	d.purges.groups[group] = append(d.purges.groups[group], purge{issued, now})
+	d.purges.groups[group] = append(d.purges.groups[group], purge{issued, d.toldAt(), now})
 	d.feed(stairvane.Invalidated{Group: group, Whole: true, Age: max(0, now-issued)})
 }
 
@@ -47,9 +48,9 @@
 	return p.any(q, func(x purge) bool { return x.told < toldBefore && since <= x.issued })
 }
 
-// toldSince tells whether a purge of the request's object has been told after a time.
+// toldSince tells whether this core has heard of a purge of the request's object after a time.
 func (p *purges) toldSince(q *request, after time.Duration) bool {
-	return p.any(q, func(x purge) bool { return x.told > after })
+	return p.any(q, func(x purge) bool { return x.heard > after })
 }
 
 // forget drops the purges told before a time.
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -54,6 +54,11 @@
 		r.Caller.Refuse(r, 0)
 		return
 	}
+	if d.limits.Claim != nil && !d.limits.Claim(r.ID) { // another core has it: two could have attempts out at once
+		d.Counts.Failed++
+		r.Caller.Fail(r)
+		return
+	}
 	d.known[key] = &request{Request: r, key: key, deadline: d.loop.Now() + r.Budget}
 	d.open++
 	d.feed(stairvane.Query{Request: key, Object: r.Object, Part: r.Part, Group: r.Group, Class: r.Class,
@@ -89,6 +94,9 @@
 func (d *Director) forget(q *request) {
 	if q.answered && q.out == 0 {
 		delete(d.known, q.key)
+		if d.limits.Release != nil {
+			d.limits.Release(q.ID)
+		}
 	}
 }
 
@@ -140,6 +148,9 @@
 
 // place sends an attempt or has it wait for a link.
 func (d *Director) place(a *attempt) {
+	if d.limits.Refresh != nil {
+		d.limits.Refresh()
+	}
 	if l := a.host.pick(a.req); l != nil {
 		d.send(a, l)
 		return
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -106,6 +106,12 @@
 	PurgeDone     time.Duration
 	SecondCopies  bool
 	LongestAnswer time.Duration // the longest deadline of a class
+
+	// Where several cores serve, nil elsewhere: Refresh takes in news that are there already, before an attempt is written;
+	// Claim and Release keep an id from being open on two cores.
+	Refresh func()
+	Claim   func(id string) bool
+	Release func(id string)
 }
 
 // Counts is what a director has taken in, sent and answered.
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -25,6 +25,10 @@
 	closed bool
 }
 
+// Share has Listen let other listeners of this process have the same address; the system divides connections among
+// them.
+func (l *Loop) Share() { l.reusePort = true }
+
 // Listen accepts on addr. For each connection, accept makes its handler and opened gets both.
 func (l *Loop) Listen(addr netip.AddrPort, accept func() Handler, opened func(*Conn, Handler)) (*Listener, error) {
 	family, sa := sockaddr(addr)
@@ -33,6 +37,12 @@
 		return nil, fmt.Errorf("socket: %w", err)
 	}
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if l.reusePort {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+			unix.Close(fd)
+			return nil, fmt.Errorf("share %s: %w", addr, err)
+		}
+	}
 	if err = unix.Bind(fd, sa); err == nil {
 		err = unix.Listen(fd, backlog)
 	}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -21,21 +21,23 @@
 
 // Loop is the one loop of a process.
 type Loop struct {
-	epoll   int
-	wake    int // eventfd
-	sources map[int]source
-	closing []int // closed only between batches, so that a number is not reused within one
-	wheel   wheel
-	origin  time.Time // Now counts from the Unix epoch, but only the monotonic clock moves it
-	offset  time.Duration
-	now     time.Duration
-	scratch []byte
-	spare   pool
-	queued  int
-	posts   chan func()
-	stopped bool
-	ended   chan struct{} // closed when nothing will run any more
-	wakeMu  sync.Mutex    // Post and the end: a descriptor that is closed may be another's by then
+	epoll     int
+	wake      int // eventfd
+	sources   map[int]source
+	closing   []int // closed only between batches, so that a number is not reused within one
+	wheel     wheel
+	origin    time.Time // Now counts from the Unix epoch, but only the monotonic clock moves it
+	offset    time.Duration
+	now       time.Duration
+	scratch   []byte
+	spare     pool
+	queued    int
+	posts     chan func()
+	stopped   bool
+	reusePort bool
+	ended     chan struct{} // closed when nothing will run any more
+	OnWake    func()        // after Poke; set before Run
+	wakeMu    sync.Mutex    // Post and the end: a descriptor that is closed may be another's by then
 }
 
 // NewLoop makes a loop. Only Post may be called from other goroutines.
@@ -84,6 +86,11 @@
 	case <-l.ended:
 		return
 	}
+	l.Poke()
+}
+
+// Poke has the loop call OnWake soon. It never waits for the loop, and calls that come together are one.
+func (l *Loop) Poke() {
 	l.wakeMu.Lock()
 	defer l.wakeMu.Unlock()
 	select {
@@ -127,6 +134,9 @@
 func (l *Loop) drainPosts() {
 	var count [8]byte
 	_, _ = unix.Read(l.wake, count[:])
+	if l.OnWake != nil {
+		l.OnWake()
+	}
 	for {
 		select {
 		case f := <-l.posts:
