--- a/deploy/stairvane.scm
+++ b/deploy/stairvane.scm
@@ -1,5 +1,7 @@
 ; What the program is to be on an installation that keeps its own fleet. The platform starts directors alone and reads
 ; nothing of this file.
+; A director on more than one core: stairvane director FILE. The platform gives one.
+; (director (cores 4) (divide connection))
 (board
   (listen 127.0.0.1:8500)  ; directors follow the bulletin here
   (followers 127.0.0.0/8 ::1/128)
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +40,7 @@
 	observed atomic.Pointer[map[string]fleet.Observation]
 	clock    func() int64
 	started  atomic.Bool // the loop runs, or ran
-	halt     sync.Once
+	stopping atomic.Bool
 	failed   chan error
 }
 
@@ -116,6 +115,9 @@
 		return err
 	}
 	b.started.Store(true)
+	if b.stopping.Load() { // told before there was anything to stop
+		b.post(b.loop.Stop)
+	}
 	b.observer.start()
 	go func() {
 		if err := b.server.Serve(b.write); !errors.Is(err, http.ErrServerClosed) {
@@ -143,7 +145,8 @@
 
 // Stop ends Run. What was begun goes on at the next start.
 func (b *Board) Stop() {
-	b.halt.Do(func() { b.post(b.loop.Stop) })
+	b.stopping.Store(true)
+	b.post(b.loop.Stop)
 }
 
 // closeAll gives up what New has opened.
