Cut the cold budgets of several cores to that of the process

Need: all cores together must keep the cold rules. Each core's module spends a cold box's budget by the most that it carried lately; where load moves between cores these bests add up to several times what the process carries.

--- a/internal/program/cores.go
+++ b/internal/program/cores.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"stairvane.org/stairvane/internal/config"
+	"stairvane.org/stairvane/internal/cores/budget"
 	"stairvane.org/stairvane/internal/cores/news"
 	"stairvane.org/stairvane/internal/cores/owners"
 	"stairvane.org/stairvane/internal/cores/watch"
@@ -24,6 +25,7 @@
 const (
 	beatEvery    = 50 * time.Millisecond
 	lookEvery    = 100 * time.Millisecond
+	bestFades    = 4           // longest deadlines, as in the decision module
 	stalledAfter = time.Second // a core that has not beaten for so long is stalled: heartbeats turn bad
 )
 
@@ -34,6 +36,7 @@
 	cores   []*core
 	news    *news.Log[told]
 	owners  *owners.Table
+	cold    *budget.Ledger
 	healthy atomic.Bool
 }
 
@@ -58,7 +61,11 @@
 	if cores < 1 || cores > 256 {
 		return nil, fmt.Errorf("cores: %d is not from 1 to 256", cores)
 	}
-	g := &Group{news: news.New[told](), owners: owners.New()}
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	g := &Group{news: news.New[told](), owners: owners.New(), cold: budget.New(cores, bestFades*longest)}
 	g.healthy.Store(true)
 	if cores == 1 {
 		p, err := New(c)
@@ -100,6 +107,7 @@
 func (c *core) join(p *Program, limits *routing.Limits) {
 	p.loop.Share()
 	limits.Claim = func(id string) bool { return c.group.owners.Claim(id, c.index) }
+	limits.Cold = c.group.cold.Part
 	limits.Release = func(id string) { c.group.owners.Release(id, c.index) }
 	if c.index > 0 {
 		limits.Refresh = func() { c.catchUp(p) }
@@ -112,6 +120,8 @@
 	p.front.well = c.group.healthy.Load
 	c.beat.Fire = func() {
 		c.beats.Add(1)
+		now, best := p.director.Carried()
+		c.group.cold.Publish(c.index, now, best, p.loop.Now())
 		p.loop.Set(&c.beat, p.loop.Now()+beatEvery)
 	}
 	p.loop.Set(&c.beat, p.loop.Now())
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -64,6 +64,9 @@
 		parent := s.ParentKind >= 0 && s.ParentKind < len(s.Kinds) && m.Kind == s.Kinds[s.ParentKind]
 		return m.Readiness == stairvane.Ready && m.Zone == s.Zone && !parent
 	}
+	if limits.Cold != nil {
+		d.module.ShareCold(limits.Cold)
+	}
 	d.upkeep.Fire = d.tidy
 	return d
 }
@@ -87,6 +90,9 @@
 	return d.loop.Now()
 }
 
+// Carried is what the module has carried, now and at its best of late, in seconds of sending per second.
+func (d *Director) Carried() (now, best float64) { return d.module.Carried() }
+
 // Open is how many requests are owed an answer.
 func (d *Director) Open() int { return d.open }
 
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -112,6 +112,7 @@
 	Refresh func()
 	Claim   func(id string) bool
 	Release func(id string)
+	Cold    func() float64 // what of its own budget for cold hosts this core may spend
 }
 
 // Counts is what a director has taken in, sent and answered.
--- a/router.go
+++ b/router.go
@@ -801,10 +801,19 @@
 	return r.now >= h.until && (h.ejected == 0 || h.out == 0)
 }
 
+// Carried is what this instance carries, and the most of it lately, in seconds of sending per second.
+func (r *Router) Carried() (now, best float64) { return r.carried.rate, r.carriedBest }
+
+// ShareCold has a function tell what part of its budget for cold hosts this instance may spend.
+func (r *Router) ShareCold(part func() float64) { r.coldPart = part }
+
 // coldRate is the part of a cold host's budget that falls to this instance, in seconds of sending per second.
 // Capacity is not told: the load carried stands for it, shared by as many peers as there ever were at once.
 func (r *Router) coldRate(h *host, q *request) (rate, work float64, rule ColdRule, cold bool) {
 	carried := max(r.carriedBest, r.demand.rate*unseenDemand)
+	if r.coldPart != nil {
+		carried *= r.coldPart()
+	}
 	rule, work = r.s.CacheCold, r.meanSend[q.class]
 	capacity := carried / float64(r.cachesMost)
 	if slices.Contains(r.parents, h) {
--- a/state.go
+++ b/state.go
@@ -119,11 +119,12 @@
 	hitOver     float64 // smoothed overhead of hits, seconds
 	lag         float64 // smoothed overhead of an answer beyond its sending time, seconds
 	lagDev      float64
-	demand      meter   // seconds of sending asked for
-	carried     meter   // seconds of sending answered
-	carriedBest float64 // the most of it lately, per second
-	cachesMost  int     // caches known at once, at most
-	parentsMost int     // the same of parents
+	demand      meter          // seconds of sending asked for
+	carried     meter          // seconds of sending answered
+	carriedBest float64        // the most of it lately, per second
+	coldPart    func() float64 // see ShareCold; may be nil
+	cachesMost  int            // caches known at once, at most
+	parentsMost int            // the same of parents
 	measured    time.Duration
 	further     float64
 	fills       window        // fills over the location's link
