Tell a history that lost its end: keep the last event's number and hash beside it

Change: each event's transaction also keeps its number and the hash of the history so far; opening compares them.

--- a/internal/board/store/store.go
+++ b/internal/board/store/store.go
@@ -263,6 +263,9 @@
 	if err := s.replay(tx, &st); err != nil {
 		return err
 	}
+	if err := checkHead(tx, &st); err != nil {
+		return err
+	}
 	if s.first == 0 {
 		s.first = st.fleet.Revision + 1
 	}
--- a/internal/board/store/tx.go
+++ b/internal/board/store/tx.go
@@ -50,6 +50,7 @@
 		return 0, fmt.Errorf("store: %w", err)
 	}
 	t.put(eventBucket, id(e.No), stored)
+	t.put(metaBucket, headKey, append(id(e.No), t.state.chain[:]...)) // events that are missing at the end leave no gap
 	t.events = append(t.events, e)
 	return e.No, nil
 }
@@ -264,6 +265,21 @@
 	return nil
 }
 
+// headKey is where the number of the last event and the hash of the history up to it are.
+var headKey = []byte("head")
+
+// checkHead compares what was read with the head that was kept.
+func checkHead(tx *bolt.Tx, st *state) error {
+	head, err := get(tx, metaBucket, headKey)
+	if err != nil {
+		return err
+	}
+	if want := append(id(st.fleet.Revision), st.chain[:]...); head == nil && st.fleet.Revision > 0 || head != nil && !bytes.Equal(head, want) {
+		return fmt.Errorf("%w: the history ends at event %d, and not where it was left", ErrDamaged, st.fleet.Revision)
+	}
+	return nil
+}
+
 func id(n int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(n)) }
 
 func stepKey(applyID int64, step int) []byte {
