--- a/internal/board/bench_test.go
+++ b/internal/board/bench_test.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// BenchmarkRecovery opens a store of 1,000,000 events that was left without a close, with a snapshot near its end and
-// without any. It takes minutes, so it runs only when it is asked for.
+// BenchmarkRecovery opens a store of 1,000,000 events, with a snapshot near its end and without any. The store was
+// closed before; a close writes nothing, so that a killed one opens the same way, which is not measured here. It takes minutes, so it runs only when it is asked for.
 func BenchmarkRecovery(b *testing.B) {
 	if os.Getenv("STAIRVANE_LONG") == "" {
 		b.Skip("set STAIRVANE_LONG=1")
