Measure the board's recovery after a real kill -9 of its writer

Change: a child process writes the 1,000,000 events and kills itself; the benchmark opens what it left.

--- a/internal/board/bench_test.go
+++ b/internal/board/bench_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,44 +115,30 @@
 	}
 }
 
-// BenchmarkRecovery opens a store of 1,000,000 events, with a snapshot near its end and without any. The store was
-// closed before; a close writes nothing, so that a killed one opens the same way, which is not measured here. It takes minutes, so it runs only when it is asked for.
+// BenchmarkRecovery opens a store of 1,000,000 events whose writer was killed (-9), with a snapshot near its end and
+// without any. It takes minutes, so it runs only when it is asked for.
 func BenchmarkRecovery(b *testing.B) {
 	if os.Getenv("STAIRVANE_LONG") == "" {
 		b.Skip("set STAIRVANE_LONG=1")
 	}
-	const events = 1_000_000
-	for _, every := range []int{2 * events, 100_000} {
-		path := filepath.Join(b.TempDir(), "s")
-		s, err := store.Open(path, store.Options{NoSync: true, SnapshotEvery: every, Keep: 10_000, Batch: 1024})
-		check(b, err)
-		var n atomic.Int64
-		var wg sync.WaitGroup
-		for range 1024 {
-			wg.Go(func() {
-				for i := n.Add(1); i <= events; i = n.Add(1) {
-					if err := s.Do(func(t *store.Tx) error {
-						e := fleet.Event{Who: "bench", Member: &fleet.Member{State: fleet.InService, Serving: float64(i),
-							Box: fleet.Box{Name: fmt.Sprintf("c-%d", i%10_000), Address: fmt.Sprintf("10.0.0.0:%d", i%10_000), Role: fleet.Cache, Share: 4}}}
-						_, err := t.Append(e)
-						return err
-					}); err != nil {
-						b.Error(err)
-						return
-					}
-				}
-			})
-		}
-		wg.Wait()
-		check(b, s.Close())
-		info, err := os.Stat(path)
-		check(b, err)
+	for _, every := range []int{2 * recoveryEvents, 100_000} {
 		b.Run(fmt.Sprintf("snapshot-every=%d", every), func(b *testing.B) {
-			for b.Loop() {
+			folder := b.TempDir()
+			cmd := exec.Command(os.Args[0], "-test.run=^$")
+			cmd.Env = append(os.Environ(), childMode+"=fill", childFolder+"="+folder, childKill+"="+strconv.Itoa(every))
+			var exit *exec.ExitError
+			if err := cmd.Run(); !errors.As(err, &exit) || exit.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+				b.Fatal(err)
+			}
+			path := filepath.Join(folder, "s")
+			info, err := os.Stat(path)
+			check(b, err)
+			b.ResetTimer()
+			for range b.N {
 				s, err := store.Open(path, store.Options{SnapshotEvery: every, Keep: 10_000})
 				check(b, err)
 				b.StopTimer()
-				if s.Fleet().Revision != events {
+				if s.Fleet().Revision != recoveryEvents {
 					b.Fatal(s.Fleet().Revision)
 				}
 				check(b, s.Close())
@@ -159,6 +149,35 @@
 	}
 }
 
+const recoveryEvents = 1_000_000
+
+// fillAndDie is a child that writes the history of BenchmarkRecovery and kills itself.
+func fillAndDie(folder string, every int) int {
+	s, err := store.Open(filepath.Join(folder, "s"), store.Options{NoSync: true, SnapshotEvery: every, Keep: 10_000, Batch: 1024})
+	if err != nil {
+		return 1
+	}
+	var n atomic.Int64
+	var wg sync.WaitGroup
+	for range 1024 {
+		wg.Go(func() {
+			for i := n.Add(1); i <= recoveryEvents; i = n.Add(1) {
+				if s.Do(func(t *store.Tx) error {
+					e := fleet.Event{Who: "bench", Member: &fleet.Member{State: fleet.InService, Serving: float64(i),
+						Box: fleet.Box{Name: fmt.Sprintf("c-%d", i%10_000), Address: fmt.Sprintf("10.0.0.0:%d", i%10_000), Role: fleet.Cache, Share: 4}}}
+					_, err := t.Append(e)
+					return err
+				}) != nil {
+					os.Exit(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	select {}
+}
+
 // BenchmarkApply carries out a plan of some 10,000 steps that wait for nothing: two durable transactions a step.
 func BenchmarkApply(b *testing.B) {
 	_, c := start(b, settingsIn(b.TempDir()))
--- a/internal/board/kill_test.go
+++ b/internal/board/kill_test.go
@@ -47,6 +47,9 @@
 func runChild(mode string) int {
 	folder := os.Getenv(childFolder)
 	kill, _ := strconv.Atoi(os.Getenv(childKill))
+	if mode == "fill" {
+		return fillAndDie(folder, kill)
+	}
 	passed := 0
 	set := settingsIn(folder)
 	opt := Options{At: func(string) {
