Blame the location's link only where reports show it full; divide the burst of repeats

What is short lies behind it: at 5 to 11 s no parent completes a fetch. In the two seconds before, 1,000 attempts went out for 650 objects, 650 of them called off as overdue and asked again of another cache and another parent; a call-off ended the attempt before its aim, so no window learnt of it. The burst of 20 further attempts is per director: 1,600 for the fleet.

Change, router.go: judge() lets a late fill narrow the window of fills only where x1 of the own caches is 1 or more; overdue() has an attempt that it calls off count as late; the burst is divided by the dispatchers of the zone; a window keeps room for one, which may be out anyway, so that it takes five answers in time to double, not fifteen.

--- a/router.go
+++ b/router.go
@@ -28,7 +28,8 @@
 // Further attempts.
 const (
 	furtherShare      = 0.15 // further attempts that each request earns: a retry budget against storms
-	furtherBurst      = 20   // bounds what a calm time can save up
+	furtherBurst      = 20   // what all dispatchers of a zone can save up in a calm time
+	furtherLeast      = 2    // of it that one can
 	overdueDeviations = 4    // beyond the usual overhead an answer is overdue, as TCP's timer has it
 	slowDeviations    = 2    // beyond the usual overhead a cache is slow; one that is not only loses answers
 	strainedShare     = 0.9  // share of busy cores from which a cache has all it can do
@@ -55,6 +56,7 @@
 	windowFrom  = 0.2 // share of late or refused ones from which a window limits
 	windowRises = 0.2 // of the sending time of each in time
 	windowFalls = 0.6 // of that of each late or refused: a quarter that fail is borne
+	linkFull    = 1   // reported transfers over those that fit from which the location's link may be short
 	windowFree  = 4   // times what is usually out at which the window no longer limits
 )
 
@@ -70,10 +72,11 @@
 // Start begins an instance's life.
 func (r *Router) Start(now time.Duration) []Action {
 	r.now, r.measured, r.acts = now, now, nil
-	r.missShare, r.further, r.alike = unseenMiss, furtherBurst/2, 1
+	r.missShare, r.alike = unseenMiss, 1
 	if i := slices.Index(r.s.Zones, r.s.Zone); i >= 0 && i < len(r.s.DispatchersByZone) {
 		r.alike = max(1, float64(r.s.DispatchersByZone[i]))
 	}
+	r.further = r.furtherMost() / 2
 	for _, c := range r.s.Classes {
 		r.patience = min(cmp.Or(r.patience, c.Deadline), c.Deadline)
 		r.longest = max(r.longest, c.Deadline)
@@ -125,10 +128,14 @@
 	q.aim = c.Aim + time.Duration(c.AimStretch*float64(q.send))
 	q.aimAt = min(r.now+q.aim, q.deadline)
 	r.demand.sum += q.send.Seconds()
-	r.further = min(r.further+furtherShare, furtherBurst)
+	r.further = min(r.further+furtherShare, r.furtherMost())
 	r.route(q)
 }
 
+// furtherMost bounds the saved budget for further attempts. What all dispatchers of a zone may spend at once
+// on its caches must not grow with their number.
+func (r *Router) furtherMost() float64 { return max(furtherLeast, furtherBurst/r.alike) }
+
 // sendTime is the time one transfer to a client takes, from the size or, untold, the class's usual one.
 func (r *Router) sendTime(q *request) time.Duration {
 	mean := &r.meanSend[q.class]
@@ -443,6 +450,7 @@
 	})
 	if again && r.s.Cancel && r.further >= 1 && r.open[q.Request] == q && len(q.attempts) < r.s.MaxAttempts &&
 		r.now+q.send < q.deadline && !r.strained(h) {
+		r.judge(a, false) // once called off it can't be late any more, and its windows would learn nothing
 		defer r.do(Abort{Request: q.Request, Attempt: a.number})
 	}
 	switch {
@@ -486,6 +494,9 @@
 	a.host.out--
 	if e.Report != nil {
 		a.host.load = e.Report
+		if x, told := e.Report["x1"]; told && slices.Contains(r.caches, a.host) {
+			r.linkUse += 2 * smoothing * (x - r.linkUse)
+		}
 	}
 	switch e.Status {
 	case Full, ConnectFailed, Moot, Miss:
@@ -683,8 +694,9 @@
 	}
 }
 
-// judge moves the windows that a fill is out in, once. One whose source has sent nothing since, while another
-// parent has, does not narrow the window of fills: that parent hangs, and what all share is not short for it.
+// judge moves the windows that a fill is out in, once. The window of fills stands for the location's link: a
+// late fill does not narrow it where reports show room there, for then what lies behind is slow. Nor does one
+// whose source has sent nothing since, while another parent has: that parent hangs.
 func (r *Router) judge(a *attempt, inTime bool) {
 	if a.judged {
 		return
@@ -694,7 +706,7 @@
 		return p != a.source && p.answered >= a.sentAt
 	})
 	for _, w := range a.windows {
-		if inTime || !aloneSilent || w != &r.fills {
+		if inTime || w != &r.fills || !aloneSilent && r.linkUse >= linkFull {
 			r.move(w, a.req, inTime)
 		}
 	}
@@ -711,7 +723,7 @@
 		w.limit = max(float64(w.out)/2, send)
 	case w.limit == 0:
 	case !inTime:
-		w.limit -= windowFalls * min(send, w.limit/4)
+		w.limit = max(w.limit-windowFalls*min(send, w.limit/4), min(w.limit, send)) // one may be out anyway
 	case w.limit > windowFree*max(w.mean, float64(seconds(r.meanSend[q.class]))):
 		w.limit = 0
 	default:
--- a/router_test.go
+++ b/router_test.go
@@ -515,6 +515,68 @@
 	}
 }
 
+// Fills were late since the origin was short, while all caches reported room on the link: the window of fills closed,
+// and every request that its cache lacked was refused for ten seconds.
+func TestLateFillsAreBlamedOnTheLinkOnlyWhereItIsFull(t *testing.T) {
+	for _, use := range []float64{0.3, 2} {
+		b := start(t, site())
+		for i := range 30 { // reports come with every answer
+			id := fmt.Sprint("q", i)
+			o := b.sent(b.query(id, ObjectID(i)))
+			b.on(Answer{Request: RequestID(id), Terminal: true, Host: o.Host, Status: OK, Note: NoteHit,
+				Elapsed: 110 * ms, Report: LoadReport{"x1": use}})
+		}
+		b.sent(b.query("a", 1000))
+		b.now += time.Second
+		b.on(Alarm{Token: "late:a:0"})
+		if got := b.r.fills.late > 0; got != (use >= linkFull) {
+			t.Errorf("link in use %v: counted as late %v", use, got)
+		}
+		if b.r.fetches.late == 0 {
+			t.Errorf("link in use %v: the window of fetches learnt nothing", use)
+		}
+	}
+}
+
+// With eighty directors most of a jam was called off before its aim: their windows never heard of it.
+func TestOverdueAttemptCountsAsLateForItsWindows(t *testing.T) {
+	b := start(t, site())
+	b.sent(b.query("a", 1))
+	b.now += 300 * ms // before the aim
+	if off := of[Abort](b.on(Alarm{Token: "watch:a:0"})); len(off) != 1 {
+		t.Fatalf("called off %v", off)
+	}
+	if b.r.fetches.late == 0 {
+		t.Error("what was called off as overdue is not late for the window of fetches")
+	}
+}
+
+func TestManyLateLeaveRoomForOne(t *testing.T) {
+	b := start(t, site())
+	w, q := &window{out: time.Second}, &request{send: 100 * ms}
+	for range 100 {
+		b.r.move(w, q, false)
+	}
+	if w.limit < float64(q.send) {
+		t.Errorf("limit %v: it takes many requests in time before two may be out", time.Duration(w.limit))
+	}
+}
+
+func TestDispatchersOfAZoneDivideTheBurstOfFurtherAttempts(t *testing.T) {
+	for _, n := range []int{1, 5, 40} {
+		s := site()
+		s.DispatchersByZone = []int{0, n}
+		b := start(t, s)
+		for i := range 400 {
+			id := fmt.Sprint("q", i)
+			b.answer(id, b.sent(b.query(id, ObjectID(i))), 0, OK, NoteHit)
+		}
+		if all, most := b.r.further*float64(n), float64(max(furtherBurst, furtherLeast*n)); all > most {
+			t.Errorf("%d dispatchers may spend %v at once, %v at most", n, all, most)
+		}
+	}
+}
+
 func TestSlowingCacheIsGivenLess(t *testing.T) {
 	b := start(t, site())
 	h := b.r.hosts[b.sent(b.query("a", 1)).Host]
--- a/state.go
+++ b/state.go
@@ -127,6 +127,7 @@
 	parentsMost int            // the same of parents
 	measured    time.Duration
 	further     float64
+	linkUse     float64       // smoothed x1 of the own caches; starts as full, for not all sites report it
 	fills       window        // fills over the location's link
 	fetches     window        // those that go on to the origin
 	patience    time.Duration // the shortest deadline
@@ -140,7 +141,7 @@
 		hosts: map[HostID]*host{}, open: map[RequestID]*request{}, flying: map[attemptKey]*attempt{},
 		table: map[objectPart]*entry{}, purged: map[ObjectID]time.Duration{}, flushed: map[int]time.Duration{},
 		class:    map[string]int{},
-		meanSend: make([]float64, len(s.Classes)),
+		meanSend: make([]float64, len(s.Classes)), linkUse: linkFull,
 	}
 	for i, c := range s.Classes {
 		r.class[c.Name] = i
