Take cold budgets from listed sizes, divided among the directors that share a host

The lists tell 5.5 transfers for each box and 14 to 48 for the hub caches. coldRate() took what one director had carried at its best, over all boxes known at once: while boxes are replaced that counts the old ones beside the new, and what is refused is not carried, so the budget shrinks with itself.

Ruled out: late news (boxes are told 2 to 3 s after their start and refused for 10 s more), ejection (2 %), windows (40 %).

Change, router.go: where weights are nominal, the budget is that of the listed link, divided by the directors of the location, for a hub cache by all. A share under one request starts with a random part of one: 80 directors with a full bucket each could send a small hub cache 20 s of sending at once, of 1.2 that it bears. The safety of one half stays.

--- a/router.go
+++ b/router.go
@@ -820,24 +820,29 @@
 func (r *Router) ShareCold(part func() float64) { r.coldPart = part }
 
 // coldRate is the part of a cold host's budget that falls to this instance, in seconds of sending per second.
-// Capacity is not told: the load carried stands for it, shared by as many peers as there ever were at once.
+// A listed size is the host's link in transfers, and all dispatchers that send there divide its budget. Where
+// none is told, the load carried stands for capacity, shared by as many peers as there ever were at once.
 func (r *Router) coldRate(h *host, q *request) (rate, work float64, rule ColdRule, cold bool) {
-	carried := max(r.carriedBest, r.demand.rate*unseenDemand)
+	carried, part := max(r.carriedBest, r.demand.rate*unseenDemand), 1.0
 	if r.coldPart != nil {
-		carried *= r.coldPart()
+		part = r.coldPart()
 	}
+	sharing, peers := r.alike, float64(r.cachesMost)
 	rule, work = r.s.CacheCold, r.meanSend[q.class]
-	capacity := carried / float64(r.cachesMost)
 	if slices.Contains(r.parents, h) {
 		rule, work = r.s.ParentCold, q.send.Seconds()
-		capacity = carried * r.missRate() / float64(r.parentsMost)
+		sharing, peers, carried = max(1, float64(r.s.Dispatchers)), float64(r.parentsMost), carried*r.missRate()
+	}
+	capacity := carried / peers
+	if r.s.Weights == WeightsNominal && h.Weight > 0 {
+		capacity = h.Weight / sharing
 	}
 	age := max(0, r.now-h.StartedAt)
 	if h == r.origin || h.StartedAt <= 0 || rule.WarmsIn <= 0 || age >= rule.WarmsIn+rule.Window {
 		return 0, work, rule, false
 	}
 	share := min(1, rule.From+(1-rule.From)*float64(age)/float64(rule.WarmsIn))
-	return coldSafety * rule.Multiple * share * capacity, work, rule, true
+	return coldSafety * rule.Multiple * share * capacity * part, work, rule, true
 }
 
 // missRate is the share of attempts whose fills are planned with, on the safe side.
@@ -849,7 +854,11 @@
 	if !cold {
 		return true
 	}
-	limit := max(rate*rule.Window.Seconds()*coldBurst, r.meanSend[q.class])
+	burst := rate * rule.Window.Seconds() * coldBurst
+	limit := max(burst, r.meanSend[q.class])
+	if h.refilled == 0 && burst < limit { // many have less than one to spend: they must not spend it all at once
+		h.tokens, h.refilled = r.rng.Float64()*limit, r.now
+	}
 	h.tokens = min(limit, h.tokens+rate*(r.now-h.refilled).Seconds())
 	h.refilled = r.now
 	return h.tokens >= work
--- a/router_test.go
+++ b/router_test.go
@@ -777,6 +777,52 @@
 	}
 }
 
+// Six in ten caches were replaced: budgets taken from what one of eighty directors had carried refused 150 requests a
+// second for ten seconds. All directors together keep the budget of a cold host, and none of it lies idle for want of load.
+func TestDispatchersDivideTheBudgetOfAListedSize(t *testing.T) {
+	for _, n := range []int{1, 8, 80} {
+		s := site()
+		s.Weights, s.Dispatchers, s.DispatchersByZone = WeightsNominal, n, []int{0, n}
+		for _, parent := range []bool{false, true} {
+			rule := s.CacheCold
+			if parent {
+				rule = s.ParentCold
+			}
+			total, spent := 0.0, 0.0
+			for i := range n {
+				b := &bench{t: t, r: NewRouter(s, uint64(i)), now: time.Hour}
+				b.r.Start(b.now)
+				list := members()
+				for j := range list {
+					list[j].Weight = 6
+				}
+				b.on(Topology{Kind: ListAll, Members: list})
+				q := &request{send: 250 * ms}
+				b.r.meanSend[0] = 0.25
+				h := b.r.caches[0]
+				if parent {
+					h = b.r.parents[0]
+				}
+				h.StartedAt = b.now
+				rate, _, _, cold := b.r.coldRate(h, q)
+				if !cold {
+					t.Fatal("it is not cold")
+				}
+				total += rate
+				if b.r.coldFits(h, q) { // at once
+					spent += q.send.Seconds()
+				}
+			}
+			if want := coldSafety * rule.Multiple * rule.From * 6; total < 0.99*want || total > 1.01*want {
+				t.Errorf("%d dispatchers, parent %v: budgets come to %v, want %v", n, parent, total, want)
+			}
+			if most := rule.Multiple * rule.From * 6 * rule.Window.Seconds(); n > 1 && spent > most {
+				t.Errorf("%d dispatchers, parent %v: %v s of sending at once, %v in a window", n, parent, spent, most)
+			}
+		}
+	}
+}
+
 func TestHungCacheIsEjectedAndTried(t *testing.T) {
 	b := start(t, site())
 	h := b.r.caches[0]
