Ask no overdue fill again in a jam behind all sources; move windows by the directors

In the jam a director sees two fills a second, so a window that takes 15 % for each late one is still at 300 ms after six seconds, and after the jam (11.0 s) 1,300 requests are refused in 4.5 s while it grows by a fifth of a request for each in time. x1 of 1 is a link full of fills at their own pace, at least twice a client's.

The end of that jam does not move with what the fleet sends (80 or 130 fills a second).

Change, router.go: overdue() does not call a fill off while fetches are limited or no parent has sent anything since; windows move by the root of the location's directors; the link counts as full from x1 of 2.

--- a/router.go
+++ b/router.go
@@ -56,7 +56,7 @@
 	windowFrom  = 0.2 // share of late or refused ones from which a window limits
 	windowRises = 0.2 // of the sending time of each in time
 	windowFalls = 0.6 // of that of each late or refused: a quarter that fail is borne
-	linkFull    = 1   // reported transfers over those that fit from which the location's link may be short
+	linkFull    = 2   // reported transfers over those that fit from which the location's link may be short
 	windowFree  = 4   // times what is usually out at which the window no longer limits
 )
 
@@ -76,7 +76,7 @@
 	if i := slices.Index(r.s.Zones, r.s.Zone); i >= 0 && i < len(r.s.DispatchersByZone) {
 		r.alike = max(1, float64(r.s.DispatchersByZone[i]))
 	}
-	r.further = r.furtherMost() / 2
+	r.further, r.speed = r.furtherMost()/2, math.Sqrt(r.alike)
 	for _, c := range r.s.Classes {
 		r.patience = min(cmp.Or(r.patience, c.Deadline), c.Deadline)
 		r.longest = max(r.longest, c.Deadline)
@@ -445,9 +445,12 @@
 // hang. That draws on the budget for further attempts, and a cache that has all it can do is not asked twice.
 func (r *Router) overdue(a *attempt) {
 	h, q := a.host, a.req
-	again := h.answered >= a.sentAt || slices.ContainsFunc(r.caches, func(o *host) bool {
+	// While fetches are short or no parent sends, the jam is behind all of them, and asking again would feed it.
+	jam := a.source != h && a.reach == anywhere && (r.fetches.limit > 0 || !slices.ContainsFunc(r.parents,
+		func(p *host) bool { return p.answered >= a.sentAt }))
+	again := !jam && (h.answered >= a.sentAt || slices.ContainsFunc(r.caches, func(o *host) bool {
 		return o != h && r.usable(o, q) && !q.tried(o)
-	})
+	}))
 	if again && r.s.Cancel && r.further >= 1 && r.open[q.Request] == q && len(q.attempts) < r.s.MaxAttempts &&
 		r.now+q.send < q.deadline && !r.strained(h) {
 		r.judge(a, false) // once called off it can't be late any more, and its windows would learn nothing
@@ -695,23 +698,26 @@
 }
 
 // judge moves the windows that a fill is out in, once. The window of fills stands for the location's link: a
-// late fill does not narrow it where reports show room there, for then what lies behind is slow. Nor does one
-// whose source has sent nothing since, while another parent has: that parent hangs.
+// late fill does not narrow it where reports show room there, for then what lies behind is slow.
 func (r *Router) judge(a *attempt, inTime bool) {
 	if a.judged {
 		return
 	}
 	a.judged = true
-	aloneSilent := a.source.answered < a.sentAt && slices.ContainsFunc(r.parents, func(p *host) bool {
-		return p != a.source && p.answered >= a.sentAt
-	})
 	for _, w := range a.windows {
-		if inTime || w != &r.fills || !aloneSilent && r.linkUse >= linkFull {
+		if inTime || w != &r.fills || !r.aloneSilent(a) && r.linkUse >= linkFull {
 			r.move(w, a.req, inTime)
 		}
 	}
 }
 
+// aloneSilent tells whether an attempt's source has sent nothing since, while another parent has: it hangs.
+func (r *Router) aloneSilent(a *attempt) bool {
+	return a.source.answered < a.sentAt && slices.ContainsFunc(r.parents, func(p *host) bool {
+		return p != a.source && p.answered >= a.sentAt
+	})
+}
+
 // move widens a window by a part of each request in time and narrows it by more for each that was not. It has
 // no limit until a good part are late, and again when it is far wider than what is out.
 func (r *Router) move(w *window, q *request, inTime bool) {
@@ -723,11 +729,12 @@
 		w.limit = max(float64(w.out)/2, send)
 	case w.limit == 0:
 	case !inTime:
-		w.limit = max(w.limit-windowFalls*min(send, w.limit/4), min(w.limit, send)) // one may be out anyway
+		fall := windowFalls * min(send, w.limit/4) * r.speed
+		w.limit = max(w.limit-fall, min(w.limit, send)) // one may be out anyway
 	case w.limit > windowFree*max(w.mean, float64(seconds(r.meanSend[q.class]))):
 		w.limit = 0
 	default:
-		w.limit += windowRises * send
+		w.limit += windowRises * send * r.speed
 	}
 }
 
--- a/router_test.go
+++ b/router_test.go
@@ -330,7 +330,7 @@
 		first := b.sent(b.query("a", 1))
 		b.now += 10 * ms
 		h := b.r.hosts[first.Host]
-		h.answered, h.load = b.now, LoadReport{"cpu_share": strain}
+		h.answered, h.load, b.r.parents[0].answered = b.now, LoadReport{"cpu_share": strain}, b.now
 		b.now += 400 * ms
 		off := of[Abort](b.on(Alarm{Token: "watch:a:0"}))
 		if strain > strainedShare {
@@ -542,6 +542,7 @@
 func TestOverdueAttemptCountsAsLateForItsWindows(t *testing.T) {
 	b := start(t, site())
 	b.sent(b.query("a", 1))
+	b.r.parents[0].answered = b.now
 	b.now += 300 * ms // before the aim
 	if off := of[Abort](b.on(Alarm{Token: "watch:a:0"})); len(off) != 1 {
 		t.Fatalf("called off %v", off)
@@ -551,6 +552,43 @@
 	}
 }
 
+// After a flush a third of all fills were called off and asked again of another cache and parent, each a fetch more for
+// an origin that was late because of them.
+func TestOverdueFillIsNotAskedAgainWhileAllBehindIsSlow(t *testing.T) {
+	for name, change := range map[string]func(*Router){
+		"a parent sends":    func(r *Router) { r.parents[0].answered = r.now },
+		"no parent sends":   func(*Router) {},
+		"fetches are short": func(r *Router) { r.parents[0].answered, r.fetches.limit = r.now, float64(time.Second) },
+	} {
+		b := start(t, site())
+		b.sent(b.query("a", 1))
+		b.now += 300 * ms
+		b.r.now = b.now
+		change(b.r)
+		off := of[Abort](b.on(Alarm{Token: "watch:a:0"}))
+		if (len(off) == 1) != (name == "a parent sends") {
+			t.Errorf("%s: called off %v", name, off)
+		}
+	}
+}
+
+func TestWindowsMoveMoreWhereEachOfManySeesLittle(t *testing.T) {
+	step := func(n int, inTime bool) float64 {
+		s := site()
+		s.DispatchersByZone = []int{0, n}
+		b := start(t, s)
+		b.r.meanSend[0] = 1
+		w := &window{limit: float64(time.Second), late: 1}
+		b.r.move(w, &request{send: 100 * ms}, inTime)
+		return w.limit - float64(time.Second)
+	}
+	for _, inTime := range []bool{true, false} {
+		if one, nine := step(1, inTime), step(9, inTime); nine/one < 2.9 || nine/one > 3.1 {
+			t.Errorf("in time %v: one of nine moves it by %v, a single one by %v", inTime, nine, one)
+		}
+	}
+}
+
 func TestManyLateLeaveRoomForOne(t *testing.T) {
 	b := start(t, site())
 	w, q := &window{out: time.Second}, &request{send: 100 * ms}
--- a/state.go
+++ b/state.go
@@ -114,6 +114,7 @@
 
 	meanSend    []float64 // by class, seconds
 	alike       float64   // dispatchers of the zone, itself counted
+	speed       float64   // of windows: of many dispatchers each sees few answers, so each of them moves it more
 	missShare   float64
 	fetchShare  float64 // share of fills that parents had to fetch
 	hitOver     float64 // smoothed overhead of hits, seconds
