Send no looks to a cold cache while the windows have room

Every attempt that reaches a cold cache counts against its budget at its class's mean sending time, so a fill that is looked for here, then behind, then fetched, costs three times.

Change, router.go: reach() goes straight for the fill at a cold cache where both windows have room.

--- a/router.go
+++ b/router.go
@@ -217,6 +217,8 @@
 	switch {
 	case r.now+q.send+seconds(r.lag+r.lagDev) > q.deadline: // its client is hasty: no fill would be in time
 		return keptHere, found < keptHere
+	case r.isCold(cache, q) && r.fills.fits(q.send) && r.fetches.fits(q.send): // looks spend its budget
+		return anywhere, true
 	case found < keptHere && r.fills.limit > 0:
 		return keptHere, true
 	case found < keptBehind && r.fetches.limit > 0 && slices.Contains(r.parents, source):
@@ -852,6 +854,11 @@
 	return coldSafety * rule.Multiple * share * capacity * part, work, rule, true
 }
 
+func (r *Router) isCold(h *host, q *request) bool {
+	_, _, _, cold := r.coldRate(h, q)
+	return cold
+}
+
 // missRate is the share of attempts whose fills are planned with, on the safe side.
 func (r *Router) missRate() float64 { return min(1, missMargin*r.missShare) }
 
--- a/router_test.go
+++ b/router_test.go
@@ -314,6 +314,24 @@
 }
 
 // A look must come back at once, also where a fill hangs that it could join.
+// A look counts against a cold cache's budget like any attempt: two looks before each fill left it a third.
+func TestNoLooksAtAColdCacheWhileWindowsHaveRoom(t *testing.T) {
+	for _, room := range []bool{true, false} {
+		b := start(t, site())
+		b.r.carriedBest = 1000
+		for _, h := range b.r.caches {
+			h.StartedAt = b.now
+		}
+		b.r.fills, b.r.fetches = window{limit: float64(time.Second)}, window{limit: float64(time.Second)}
+		if !room {
+			b.r.fetches = narrowed()
+		}
+		if o := b.sent(b.query("a", 1)); (o.Source == o.Host) == room {
+			t.Errorf("room %v: cache %d, source %d", room, o.Host, o.Source)
+		}
+	}
+}
+
 func TestLookJoinsNoFill(t *testing.T) {
 	b := start(t, site())
 	b.r.fills = narrowed()
