--- a/internal/program/feed.go
+++ b/internal/program/feed.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"time"
@@ -21,6 +22,8 @@
 	feedDial     = time.Second
 	feedRetryMin = 20 * time.Millisecond
 	feedRetryMax = 500 * time.Millisecond
+	// The bulletin's connections break for all directors at once; each further one widens the time over which they return.
+	feedSpread = 2500 * time.Microsecond
 )
 
 // feed follows the bulletin by long polls, one at a time.
@@ -34,11 +37,14 @@
 	retry    time.Duration
 	failing  bool
 	request  []byte
+	rng      *rand.Rand
+	crowd    int                 // directors that follow the bulletin, itself counted
 	publish  func(bulletin.Feed) // to the other cores; nil: there are none
 }
 
-func newFeed(loop *transport.Loop, d *routing.Director, addr netip.AddrPort) *feed {
-	f := &feed{loop: loop, director: d, addr: addr, retry: feedRetryMin}
+func newFeed(loop *transport.Loop, d *routing.Director, addr netip.AddrPort, crowd int, seed uint64) *feed {
+	f := &feed{loop: loop, director: d, addr: addr, retry: feedRetryMin, crowd: max(1, crowd),
+		rng: rand.New(rand.NewPCG(seed, 1))}
 	f.timer.Fire = f.connect
 	return f
 }
@@ -80,10 +86,16 @@
 		slog.Warn("bulletin.lost", "after", f.last, "err", err)
 	}
 	f.failing = true
-	f.loop.Set(&f.timer, f.loop.Now()+f.retry)
+	f.loop.Set(&f.timer, f.loop.Now()+f.pause())
 	f.retry = min(2*f.retry, feedRetryMax)
 }
 
+// pause is how long to wait before the next connection: half the usual time and a random part of as much again, wider
+// the more directors there are, for they all lost theirs at the same moment.
+func (f *feed) pause() time.Duration {
+	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+time.Duration(f.crowd-1)*feedSpread))
+}
+
 // Opened implements transport.Handler.
 func (f *feed) Opened() { f.poll() }
 
--- /dev/null
+++ b/internal/program/feed_test.go
@@ -0,0 +1,39 @@
+package program
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/transport"
+)
+
+// All directors lose the bulletin at one moment. Eighty of them came back within the same 20 ms.
+func TestDirectorsReturnToTheBulletinApart(t *testing.T) {
+	loop, err := transport.NewLoop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Release()
+	const crowd, slot = 80, 20 * time.Millisecond
+	perSlot := map[time.Duration]int{}
+	var pauses []time.Duration
+	for i := range crowd {
+		f := newFeed(loop, nil, netip.AddrPort{}, crowd, uint64(i))
+		p := f.pause()
+		perSlot[p/slot]++
+		pauses = append(pauses, p)
+	}
+	for at, n := range perSlot {
+		if n > crowd/4 {
+			t.Errorf("%d of %d return between %v and %v", n, crowd, at*slot, (at+1)*slot)
+		}
+	}
+	if last := slices.Max(pauses); last > 500*time.Millisecond {
+		t.Errorf("the last one waits %v; news count as told 2 s after a break", last)
+	}
+	if alone := newFeed(loop, nil, netip.AddrPort{}, 0, 1).pause(); alone > 2*feedRetryMin {
+		t.Errorf("a single one waits %v", alone)
+	}
+}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -74,6 +74,10 @@
 	clients := c.Sockets/3 + c.Sockets/20
 	limits.LinksPerHost = min(mostLinks, max(1, (c.Sockets-clients-spareSockets)/likelyHosts))
 
+	if s.Dispatchers <= 0 {
+		slog.Warn("settings.no_directors", "key", "settings.Balancers", "taken", 1)
+	}
+
 	p := &Program{loop: loop, config: c, core: own}
 	if own != nil {
 		own.join(p, &limits)
@@ -82,7 +86,7 @@
 	d := routing.New(loop, s, c.Seed, limits, links)
 	p.director = d
 	d.Start()
-	p.feed = newFeed(loop, d, c.Bulletin)
+	p.feed = newFeed(loop, d, c.Bulletin, s.Dispatchers, c.Seed)
 	if own != nil {
 		p.feed.publish = own.publish
 	}
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -29,6 +29,7 @@
 	pings   int64 // made so far
 	upkeep  transport.Timer
 	told    time.Duration // see Told
+	version int64         // of the last list taken in
 }
 
 // upkeepEvery paces the closing of idle links and the forgetting of purges.
--- a/router.go
+++ b/router.go
@@ -72,9 +72,10 @@
 // Start begins an instance's life.
 func (r *Router) Start(now time.Duration) []Action {
 	r.now, r.measured, r.acts = now, now, nil
-	r.missShare, r.alike = unseenMiss, 1
-	if i := slices.Index(r.s.Zones, r.s.Zone); i >= 0 && i < len(r.s.DispatchersByZone) {
-		r.alike = max(1, float64(r.s.DispatchersByZone[i]))
+	r.missShare, r.alike = unseenMiss, max(1, float64(r.s.Dispatchers)) // all may serve the zone, unless told
+	i := slices.Index(r.s.Zones, r.s.Zone)
+	if i >= 0 && i < len(r.s.DispatchersByZone) && r.s.DispatchersByZone[i] > 0 {
+		r.alike = float64(r.s.DispatchersByZone[i])
 	}
 	r.further, r.speed = r.furtherMost()/2, math.Sqrt(r.alike)
 	for _, c := range r.s.Classes {
--- a/router_test.go
+++ b/router_test.go
@@ -618,6 +618,21 @@
 	}
 }
 
+// Settings that leave out how many serve the location, or give 0, must not let each take the whole budget.
+func TestUntoldNumberOfDispatchersIsTakenAsAll(t *testing.T) {
+	for _, x := range []struct {
+		all    int
+		byZone []int
+		want   float64
+	}{{80, nil, 80}, {80, []int{0}, 80}, {80, []int{0, 0}, 80}, {80, []int{0, 8}, 8}, {0, nil, 1}} {
+		s := site()
+		s.Dispatchers, s.DispatchersByZone = x.all, x.byZone
+		if got := start(t, s).r.alike; got != x.want {
+			t.Errorf("%+v: %v", x, got)
+		}
+	}
+}
+
 func TestDispatchersOfAZoneDivideTheBurstOfFurtherAttempts(t *testing.T) {
 	for _, n := range []int{1, 5, 40} {
 		s := site()
