Tell bad hub caches by the median of their peers, and book late refusals on the source

A cache's own refusals take 1 to 6 ms.

Change, router.go: worse() takes the median; the count of samples goes (three bad ones in a row are needed anyway); a refusal after more than 25 ms is its source's; a source that is bad alone narrows no window. On several cores each core counts as a director for what directors divide (program/cores.go), else four cores would spend a listed budget four times.

--- a/internal/program/cores.go
+++ b/internal/program/cores.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,12 +95,18 @@
 	return g, nil
 }
 
-// divide gives a core its part of the limits.
+// divide gives a core its part of the limits. What directors divide among themselves, such as the budget of a cold box
+// whose size is listed, each core takes its part of as a director of its own.
 func divide(c config.Config, cores int) config.Config {
 	c.MemoryMB, c.Sockets = c.MemoryMB/cores, c.Sockets/cores
 	if c.Settings.MaxOpen > 0 {
 		c.Settings.MaxOpen = max(1, c.Settings.MaxOpen/cores)
 	}
+	c.Settings.Dispatchers = max(1, c.Settings.Dispatchers) * cores
+	c.Settings.DispatchersByZone = slices.Clone(c.Settings.DispatchersByZone)
+	for i := range c.Settings.DispatchersByZone {
+		c.Settings.DispatchersByZone[i] *= cores
+	}
 	return c
 }
 
--- a/internal/program/cores_test.go
+++ b/internal/program/cores_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -201,3 +202,16 @@
 	default:
 	}
 }
+
+// A budget taken from a listed size is the same on each core: four cores must not spend it four times.
+func TestCoresCountAsDirectorsWhereDirectorsDivide(t *testing.T) {
+	c := config.Config{}
+	c.Settings.Dispatchers, c.Settings.DispatchersByZone = 3, []int{0, 2}
+	part := divide(c, 4).Settings
+	if part.Dispatchers != 12 || !slices.Equal(part.DispatchersByZone, []int{0, 8}) {
+		t.Errorf("%d directors, by location %v", part.Dispatchers, part.DispatchersByZone)
+	}
+	if c.Settings.DispatchersByZone[1] != 2 {
+		t.Error("the configuration that the cores share was changed")
+	}
+}
--- a/router.go
+++ b/router.go
@@ -41,6 +41,9 @@
 	silentLimit = 2   // overdue attempts in a row, with no answer between, that eject a host
 	ejectedMost = 0.5 // share of the peers that may be out at once: the rest must carry their load
 	ejectedLong = 3   // ejections in a row up to which the time out grows
+
+	// A cache that turns a request away by itself does so at once; its source's refusal takes a connection.
+	atOnce = 25 * time.Millisecond
 )
 
 // Load: when a cache passes requests on.
@@ -649,6 +652,8 @@
 		r.outcome(a.source, 1)
 	case e.Note == NoteOriginFailed:
 		r.outcome(cmp.Or(r.origin, a.source), 1)
+	case e.Status == Full && e.Note == NoteNone && a.source != a.host && e.Elapsed > atOnce:
+		r.outcome(a.source, 1)
 	case e.Status == TimedOut || e.Status == Miss || e.Status == Reset || e.Note == NoteNoPlace:
 	default:
 		r.outcome(a.host, 1)
@@ -707,6 +712,9 @@
 		return
 	}
 	a.judged = true
+	if !inTime && a.source != a.host && a.source.bad > badShare/2 && r.worse(a.source) {
+		return // it is bad by itself, and what it refuses shows nothing short
+	}
 	for _, w := range a.windows {
 		if inTime || w != &r.fills || !r.aloneSilent(a) && r.linkUse >= linkFull {
 			r.move(w, a.req, inTime)
@@ -769,7 +777,6 @@
 // do badly the cause is something they share, and ejecting helps nobody.
 func (r *Router) outcome(h *host, bad float64) {
 	h.bad += 2 * smoothing * (bad - h.bad)
-	h.samples++
 	if bad == 0 {
 		if r.now >= h.until && h.ejected > 0 && h.bad < badShare {
 			h.ejected = 0
@@ -780,15 +787,21 @@
 		r.eject(h)
 		return
 	}
-	sum, n := 0.0, 0.0
+	if h.bad > badShare && r.worse(h) {
+		r.eject(h)
+	}
+}
+
+// worse tells whether a host does much worse than most of its peers; some may be bad beside it.
+func (r *Router) worse(h *host) bool {
+	var others []float64
 	for _, o := range r.peers(h) {
 		if o != h && o.listed {
-			sum, n = sum+o.bad, n+1
+			others = append(others, o.bad)
 		}
 	}
-	if h.bad > badShare && h.samples > 1/smoothing/2 && sum < n*h.bad/2 {
-		r.eject(h)
-	}
+	slices.Sort(others)
+	return len(others) > 0 && others[(len(others)-1)/2] < h.bad/2
 }
 
 // eject keeps a host out for a while, longer each time in a row, unless too many of its peers are out.
--- a/router_test.go
+++ b/router_test.go
@@ -894,6 +894,54 @@
 	}
 }
 
+// A hub zone was lost while a hub cache elsewhere failed two thirds: by the mean of their peers each hid the other.
+func TestTwoBadParentsOfFourDoNotHideEachOther(t *testing.T) {
+	b := start(t, site())
+	more := members()
+	for i := range 2 {
+		more = append(more, Member{Host: HostID(502 + i), Zone: "hub", Kind: "parent", Readiness: Ready, Weight: 1})
+	}
+	b.on(Topology{Kind: ListAll, Members: more})
+	for range 3 {
+		b.r.outcome(b.r.parents[0], 1)
+		b.r.outcome(b.r.parents[1], 1)
+	}
+	for i, p := range b.r.parents {
+		if out := b.now < p.until; out != (i < 2) {
+			t.Errorf("parent %d ejected: %v", i, out)
+		}
+	}
+	b = start(t, site())
+	for range 9 {
+		for _, p := range b.r.parents { // all suffer: no host's fault
+			b.r.outcome(p, 1)
+		}
+	}
+	if slices.ContainsFunc(b.r.parents, func(p *host) bool { return b.now < p.until }) {
+		t.Error("ejected for what all suffer")
+	}
+}
+
+// Where only hits are told, a lost parent's refusals were taken for its caches', and closed the windows.
+func TestRefusalAfterAConnectIsTheSources(t *testing.T) {
+	for elapsed, sources := range map[time.Duration]bool{2 * ms: false, 150 * ms: true} {
+		s := site()
+		s.Tells = TellsHits
+		b := start(t, s)
+		o := b.sent(b.query("a", 1))
+		cache, source := b.r.hosts[o.Host], b.r.hosts[o.Source]
+		source.bad = 0.4
+		b.now += elapsed
+		b.on(Answer{Request: "a", Host: o.Host, Status: Full, Elapsed: elapsed})
+		if (cache.bad == 0) != sources {
+			t.Errorf("after %v: the cache's share is %v", elapsed, cache.bad)
+		}
+		if b.r.fetches.late > 0 {
+			t.Errorf("after %v: the refusal of a parent that is bad alone counts against the origin", elapsed)
+		}
+	}
+}
+
 func TestHungCacheIsEjectedAndTried(t *testing.T) {
 	b := start(t, site())
 	h := b.r.caches[0]
--- a/state.go
+++ b/state.go
@@ -13,7 +13,6 @@
 	listed   bool // Ready in the list
 	out      int  // attempts of ours that are out
 	bad      float64
-	samples  float64
 	silent   int
 	answered time.Duration // when it last answered anything
 	until    time.Duration // ejected until
