--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -244,7 +244,9 @@
 	news  chan string // what it answers; empty: the connection breaks
 }
 
-func newWorld(t *testing.T, hosts ...string) *world {
+func newWorld(t *testing.T, hosts ...string) *world { return newWorldWith(t, settings, hosts...) }
+
+func newWorldWith(t *testing.T, settings string, hosts ...string) *world {
 	w := &world{t: t, ended: make(chan error, 1), polls: make(chan string, 64), news: make(chan string, 8)}
 	stop := make(chan struct{})
 	bulletin := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"time"
@@ -59,25 +60,15 @@
 	for _, class := range s.Classes {
 		limits.LongestAnswer = max(limits.LongestAnswer, class.Deadline)
 	}
-	if limits.Streams <= 0 {
-		limits.Streams = defaultStreams
-	}
-	if limits.DialTimeout <= 0 {
-		limits.DialTimeout = defaultDial
-	}
-	idle := c.Pools.ConnIdle
-	if idle <= 0 {
-		idle = defaultIdle
-	}
+	s.Dispatchers = orDefault("settings.Balancers", s.Dispatchers, 1)
+	limits.Streams = orDefault("settings.Limits.Multiplex", limits.Streams, defaultStreams)
+	limits.DialTimeout = orDefault("settings.Limits.DialTimeout", limits.DialTimeout, defaultDial)
+	idle := orDefault("settings.Limits.ConnIdle", c.Pools.ConnIdle, defaultIdle)
 	// The other end closes after the same time: an order sent into that close would be lost, so links go before.
 	limits.IdleAfter = idle * 4 / 5
 	clients := c.Sockets/3 + c.Sockets/20
 	limits.LinksPerHost = min(mostLinks, max(1, (c.Sockets-clients-spareSockets)/likelyHosts))
 
-	if s.Dispatchers <= 0 {
-		slog.Warn("settings.no_directors", "key", "settings.Balancers", "taken", 1)
-	}
-
 	p := &Program{loop: loop, config: c, core: own}
 	if own != nil {
 		own.join(p, &limits)
@@ -104,6 +95,15 @@
 	return p, nil
 }
 
+// orDefault gives what stands in for a setting that is left out, 0 or less, and logs it.
+func orDefault[T int | time.Duration](key string, value, standIn T) T {
+	if value > 0 {
+		return value
+	}
+	slog.Warn("settings.default", "key", key, "taken", fmt.Sprint(standIn))
+	return standIn
+}
+
 // Addr is where clients connect.
 func (p *Program) Addr() (netip.AddrPort, error) { return p.front.listener.Addr() }
 
--- a/internal/program/stories_test.go
+++ b/internal/program/stories_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"syscall"
@@ -154,6 +155,36 @@
 	client.want(1, 0, "x")
 }
 
+// Settings that leave out how many directors there are, or a limit, or give 0: what stands in is logged by its key, and
+// requests are served.
+func TestMissingSettingsAreLoggedAndServed(t *testing.T) {
+	var log bytes.Buffer
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewJSONHandler(&log, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	defer slog.SetDefault(old)
+	less := settings
+	for _, change := range [][2]string{{`"Balancers":1,`, ``}, {`"CountByZone":[0,1],`, ``}, {`"Multiplex":32,`, `"Multiplex":0,`},
+		{`"DialTimeout":400,`, ``}, {`"ConnIdle":15000,`, `"ConnIdle":0,`}} {
+		if !strings.Contains(less, change[0]) {
+			t.Fatalf("the settings have no %s", change[0])
+		}
+		less = strings.Replace(less, change[0], change[1], 1)
+	}
+	c := newCache(t)
+	w := newWorldWith(t, less, c.host("s-1", "in_service"))
+	for _, key := range []string{"settings.Balancers", "settings.Limits.Multiplex", "settings.Limits.DialTimeout", "settings.Limits.ConnIdle"} {
+		if !strings.Contains(log.String(), `"key":"`+key+`"`) {
+			t.Errorf("%s is not named in %s", key, log.String())
+		}
+	}
+	client := w.client()
+	client.submit(ridA, objA)
+	box := c.accept()
+	id, _ := box.order()
+	box.answer(id, "OK", "n=local", "x")
+	client.want(1, 0, "x")
+}
+
 // With no cache left, the answer is a refusal at once, with the time to stay away.
 func TestRefusedAtOnceWithBackoff(t *testing.T) {
 	c := newCache(t)
