Show on sockets that four cores together keep the budget of a cold box

Change: a test with four cores, two stand-in boxes and 2,700 requests, of which the cold box attracts four fifths. It counts all cores' attempts at it over every window of the rule.

--- a/internal/program/cores_test.go
+++ b/internal/program/cores_test.go
@@ -26,6 +26,10 @@
 }
 
 func newCluster(t *testing.T, cores, boxes int) *cluster {
+	return newClusterWith(t, cores, boxes, settings)
+}
+
+func newClusterWith(t *testing.T, cores, boxes int, settings string) *cluster {
 	c := &cluster{t: t, news: make(chan string, 8), ended: make(chan error, 1)}
 	stop := make(chan struct{})
 	bulletin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -203,6 +207,51 @@
 	}
 }
 
+// A box is listed as just started, four times the size of the warm one, so that most objects are placed on it. All cores together
+// keep what the rule lets it have over every window; with a budget for each core they sent it 1.5 times that.
+func TestCoresTogetherKeepAColdBoxesBudget(t *testing.T) {
+	const window, send = time.Second, 2 * time.Millisecond // the size of a request over the pace of a transfer
+	nominal := strings.NewReplacer(`"Zone":"west"`, `"Zone":"west","Weights":"nominal"`, `"Fall":3000`, `"Fall":1000`).Replace(settings)
+	c := newClusterWith(t, 4, 2, nominal)
+	got := make(chan standin.Tally, 1)
+	go func() { got <- c.load(24, 112, 480*time.Millisecond) }()
+	for end := time.Now().Add(patience); len(c.boxes[0].Orders())+len(c.boxes[1].Orders()) < 200; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no load")
+		}
+	}
+	started := time.Now()
+	line := func(i int, share float64, born int64) string {
+		return fmt.Sprintf(`{"host":"s-%d","dial":%q,"site":"west","class":"std","health":"in_service","share":%g,"born_ms":%d}`,
+			i, c.boxes[i].Addr(), share, born)
+	}
+	c.news <- fmt.Sprintf(`{"no":2,"items":[{"no":2,"roster":{"seq":2,"whole":false,"hosts":[%s,%s]}}]}`,
+		line(0, 0.25, 0), line(1, 1, started.UnixMilli()))
+	sum := <-got
+	if sum.Served+sum.Refused+sum.Failed != sum.Sent || sum.Doubled+sum.Lost > 0 || sum.Served < sum.Sent/2 {
+		t.Errorf("%+v", sum)
+	}
+	var at []time.Duration // of the attempts at the cold box, since its start
+	for _, o := range c.boxes[1].Orders() {
+		if since := o.At.Sub(started); since > 50*time.Millisecond { // until the news has reached all cores
+			at = append(at, since)
+		}
+	}
+	slices.Sort(at)
+	worst := 0.0
+	for first, i := 0, 0; i < len(at); i++ {
+		for at[first] <= at[i]-window {
+			first++
+		}
+		share := 0.17 + 0.83*at[first].Seconds()/16 // at the window's start, when it can do least
+		worst = max(worst, float64(i-first+1)*send.Seconds()/(4*share*window.Seconds()))
+	}
+	t.Logf("%d attempts at the cold box, at worst %.2f of its budget", len(at), worst)
+	if worst > 1 || worst < 0.1 {
+		t.Errorf("%.2f of the budget of a window: over 1 it falls over, under 0.1 the test has no load", worst)
+	}
+}
+
 // A budget taken from a listed size is the same on each core: four cores must not spend it four times.
 func TestCoresCountAsDirectorsWhereDirectorsDivide(t *testing.T) {
 	c := config.Config{}
