Meet restarted hosts apart, see addresses shared with known boxes, cut the cold share once

A host that restarts under its old id was reset with its clock running, so the random start of a small share passed it by: 80 directors had their first token for a hub cache at one moment (test: 0 of 80 after 4 s, then all; now a third). An address named again by a later list, under a new id, was seen only where both stood in one list. On several cores a listed budget was divided among the cores and cut by the ledger again.

--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -71,7 +71,12 @@
 	} else {
 		d.version = version
 	}
-	lines, at := map[string]int{}, map[string]string{}
+	lines, at := map[string]int{}, map[string]string{} // by name; names in service by address
+	for name, h := range d.byName {
+		if !whole && h.Readiness == stairvane.Ready && !slices.ContainsFunc(members, func(m Member) bool { return m.Name == name }) {
+			at[h.Address] = name
+		}
+	}
 	for i, m := range members {
 		if _, again := lines[m.Name]; again {
 			slog.Warn("list.host_repeated", "version", version, "host", m.Name)
--- a/internal/routing/lists_test.go
+++ b/internal/routing/lists_test.go
@@ -37,6 +37,7 @@
 		{"", 6, false, []Member{line("b", stairvane.Gone)}, "r2 served y"},
 		{"list.host_repeated", 6, false, []Member{line("a", stairvane.Draining), line("a", stairvane.Ready)}, "r2 served y"},
 		{"list.out_of_order", 4, false, []Member{line("b", stairvane.Ready)}, "r2 served y"},
+		{"list.address_shared", 6, false, []Member{moved}, "r2 served y"},
 		{"list.address_shared", 6, false, []Member{line("a", stairvane.Ready), moved}, "r2 served y"},
 	} {
 		d, s, c := scripted(t, none, "a")
--- a/router.go
+++ b/router.go
@@ -80,7 +80,7 @@
 	if i >= 0 && i < len(r.s.DispatchersByZone) && r.s.DispatchersByZone[i] > 0 {
 		r.alike = float64(r.s.DispatchersByZone[i])
 	}
-	r.further, r.speed = r.furtherMost()/2, math.Sqrt(r.alike)
+	r.further = r.furtherMost() / 2
 	for _, c := range r.s.Classes {
 		r.patience = min(cmp.Or(r.patience, c.Deadline), c.Deadline)
 		r.longest = max(r.longest, c.Deadline)
@@ -452,8 +452,7 @@
 func (r *Router) overdue(a *attempt) {
 	h, q := a.host, a.req
 	// While fetches are short or no parent sends, the jam is behind all of them, and asking again would feed it.
-	jam := a.source != h && a.reach == anywhere && (r.fetches.limit > 0 || !slices.ContainsFunc(r.parents,
-		func(p *host) bool { return p.answered >= a.sentAt }))
+	jam := a.source != h && a.reach == anywhere && (r.fetches.limit > 0 || !r.parentSent(a.sentAt))
 	again := !jam && (h.answered >= a.sentAt || slices.ContainsFunc(r.caches, func(o *host) bool {
 		return o != h && r.usable(o, q) && !q.tried(o)
 	}))
@@ -724,9 +723,12 @@
 
 // aloneSilent tells whether an attempt's source has sent nothing since, while another parent has: it hangs.
 func (r *Router) aloneSilent(a *attempt) bool {
-	return a.source.answered < a.sentAt && slices.ContainsFunc(r.parents, func(p *host) bool {
-		return p != a.source && p.answered >= a.sentAt
-	})
+	return a.source.answered < a.sentAt && r.parentSent(a.sentAt)
+}
+
+// parentSent tells whether any parent has sent something since.
+func (r *Router) parentSent(since time.Duration) bool {
+	return slices.ContainsFunc(r.parents, func(p *host) bool { return p.answered >= since })
 }
 
 // move widens a window by a part of each request in time and narrows it by more for each that was not. It has
@@ -740,15 +742,18 @@
 		w.limit = max(float64(w.out)/2, send)
 	case w.limit == 0:
 	case !inTime:
-		fall := windowFalls * min(send, w.limit/4) * r.speed
+		fall := windowFalls * min(send, w.limit/4) * r.speed()
 		w.limit = max(w.limit-fall, min(w.limit, send)) // one may be out anyway
 	case w.limit > windowFree*max(w.mean, float64(seconds(r.meanSend[q.class]))):
 		w.limit = 0
 	default:
-		w.limit += windowRises * send * r.speed
+		w.limit += windowRises * send * r.speed()
 	}
 }
 
+// speed is by how much more a window moves where many dispatchers see few answers each.
+func (r *Router) speed() float64 { return math.Sqrt(r.alike) }
+
 // fits tells whether one more has room in the window; one at least always has.
 func (w *window) fits(send time.Duration) bool {
 	return w.limit == 0 || w.out <= 0 || float64(w.out+send) <= w.limit
@@ -846,9 +851,9 @@
 // A listed size is the host's link in transfers, and all dispatchers that send there divide its budget. Where
 // none is told, the load carried stands for capacity, shared by as many peers as there ever were at once.
 func (r *Router) coldRate(h *host, q *request) (rate, work float64, rule ColdRule, cold bool) {
-	carried, part := max(r.carriedBest, r.demand.rate*unseenDemand), 1.0
+	carried := max(r.carriedBest, r.demand.rate*unseenDemand)
 	if r.coldPart != nil {
-		part = r.coldPart()
+		carried *= r.coldPart()
 	}
 	sharing, peers := r.alike, float64(r.cachesMost)
 	rule, work = r.s.CacheCold, r.meanSend[q.class]
@@ -865,9 +870,10 @@
 		return 0, work, rule, false
 	}
 	share := min(1, rule.From+(1-rule.From)*float64(age)/float64(rule.WarmsIn))
-	return coldSafety * rule.Multiple * share * capacity * part, work, rule, true
+	return coldSafety * rule.Multiple * share * capacity, work, rule, true
 }
 
+// isCold tells whether a host has a budget that all that reaches it counts against.
 func (r *Router) isCold(h *host, q *request) bool {
 	_, _, _, cold := r.coldRate(h, q)
 	return cold
@@ -884,9 +890,10 @@
 	}
 	burst := rate * rule.Window.Seconds() * coldBurst
 	limit := max(burst, r.meanSend[q.class])
-	if h.refilled == 0 && burst < limit { // many have less than one to spend: they must not spend it all at once
+	if !h.phased && burst < limit { // many have less than one to spend: they must not spend it all at once
 		h.tokens, h.refilled = r.rng.Float64()*limit, r.now
 	}
+	h.phased = true
 	h.tokens = min(limit, h.tokens+rate*(r.now-h.refilled).Seconds())
 	h.refilled = r.now
 	return h.tokens >= work
--- a/router_test.go
+++ b/router_test.go
@@ -313,7 +313,6 @@
 	}
 }
 
-// A look must come back at once, also where a fill hangs that it could join.
 // A look counts against a cold cache's budget like any attempt: two looks before each fill left it a third.
 func TestNoLooksAtAColdCacheWhileWindowsHaveRoom(t *testing.T) {
 	for _, room := range []bool{true, false} {
@@ -332,6 +331,7 @@
 	}
 }
 
+// A look must come back at once, also where a fill hangs that it could join.
 func TestLookJoinsNoFill(t *testing.T) {
 	b := start(t, site())
 	b.r.fills = narrowed()
@@ -942,6 +942,28 @@
 	}
 }
 
+// A hub cache that restarts under its old id is told to all at one moment: their first tokens must not come at one moment too.
+func TestRestartedHostIsMetApart(t *testing.T) {
+	s := site()
+	s.Weights, s.Dispatchers, s.DispatchersByZone = WeightsNominal, 80, []int{0, 8}
+	ready := 0
+	for i := range s.Dispatchers {
+		b := &bench{t: t, r: NewRouter(s, uint64(i)), now: time.Hour}
+		b.r.Start(b.now)
+		b.on(Topology{Kind: ListAll, Members: members()})
+		again := Member{Host: 500, Zone: "hub", Kind: "parent", Readiness: Ready, Weight: 6, StartedAt: b.now}
+		b.on(Topology{Kind: ListChanges, Members: []Member{again}})
+		b.r.meanSend[0] = 0.25
+		q := &request{send: 250 * ms}
+		b.r.coldFits(b.r.hosts[500], q)
+		b.r.now += 4 * time.Second // a third of a token
+		ready += int(bool01(b.r.coldFits(b.r.hosts[500], q)))
+	}
+	if ready < 12 || ready > 45 {
+		t.Errorf("4 s after the news %d of 80 may send", ready)
+	}
+}
+
 func TestHungCacheIsEjectedAndTried(t *testing.T) {
 	b := start(t, site())
 	h := b.r.caches[0]
--- a/state.go
+++ b/state.go
@@ -25,6 +25,7 @@
 	heard    time.Duration // when ttfb was last fed
 	tokens   float64       // of the cold budget, in seconds of sending
 	refilled time.Duration
+	phased   bool // its tokens have begun, at a random part of one where many share few
 }
 
 type objectPart struct {
@@ -113,7 +114,6 @@
 
 	meanSend    []float64 // by class, seconds
 	alike       float64   // dispatchers of the zone, itself counted
-	speed       float64   // of windows: of many dispatchers each sees few answers, so each of them moves it more
 	missShare   float64
 	fetchShare  float64 // share of fills that parents had to fetch
 	hitOver     float64 // smoothed overhead of hits, seconds
