Decide what of a list is followed without I/O, and count a director once on several cores

Found on reading the change again: checkList decided and logged in one; on several cores an untold number of directors became the number of cores without a log line, and the return to the bulletin was spread as if each core followed it; a story stood twice.

Change: follow() in internal/routing/lists.go is pure and gives what is odd beside what is taken, UpdateHosts logs it; NewGroup names the setting that one stands in for, before it divides; serves() in the stories.

--- a/internal/program/cores.go
+++ b/internal/program/cores.go
@@ -73,6 +73,7 @@
 		g.cores = []*core{{group: g, prog: p}}
 		return g, err
 	}
+	c.Settings.Dispatchers = orDefault("settings.Balancers", c.Settings.Dispatchers, 1)
 	part := divide(c, cores)
 	for i := range cores {
 		g.cores = append(g.cores, &core{group: g, index: i, cursor: g.news.Follow()})
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -77,7 +77,11 @@
 	d := routing.New(loop, s, c.Seed, limits, links)
 	p.director = d
 	d.Start()
-	p.feed = newFeed(loop, d, c.Bulletin, s.Dispatchers, c.Seed)
+	crowd := s.Dispatchers
+	if own != nil { // the bulletin is followed once for all cores
+		crowd /= len(own.group.cores)
+	}
+	p.feed = newFeed(loop, d, c.Bulletin, crowd, c.Seed)
 	if own != nil {
 		p.feed.publish = own.publish
 	}
--- a/internal/program/stories_test.go
+++ b/internal/program/stories_test.go
@@ -147,9 +147,15 @@
 	w.news <- ""
 	w.poll("2")
 	w.tell(3, `"roster":{"seq":3,"whole":false,"hosts":[`+c.host("s-1", "terminated")+`]}`)
+	w.serves(other)
+}
+
+// serves has a client ask for an object and the cache answer it.
+func (w *world) serves(c *cache) {
+	w.t.Helper()
 	client := w.client()
 	client.submit(ridA, objA)
-	box := other.accept()
+	box := c.accept()
 	id, _ := box.order()
 	box.answer(id, "OK", "n=local", "x")
 	client.want(1, 0, "x")
@@ -177,12 +183,7 @@
 			t.Errorf("%s is not named in %s", key, log.String())
 		}
 	}
-	client := w.client()
-	client.submit(ridA, objA)
-	box := c.accept()
-	id, _ := box.order()
-	box.answer(id, "OK", "n=local", "x")
-	client.want(1, 0, "x")
+	w.serves(c)
 }
 
 // With no cache left, the answer is a refusal at once, with the time to stay away.
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"hash/fnv"
 	"log/slog"
 	"maps"
@@ -26,7 +27,19 @@
 func (d *Director) UpdateHosts(version int64, whole bool, members []Member) {
 	now := d.toldAt()
 	d.Counts.Lists++
-	members = d.checkList(version, whole, members)
+	inService := map[string]string{} // by name, the addresses
+	for name, h := range d.byName {
+		if h.Readiness == stairvane.Ready {
+			inService[name] = h.Address
+		}
+	}
+	members, odd := follow(version, d.version, whole, members, inService)
+	for _, o := range odd {
+		slog.Log(context.Background(), o.level, o.event, append([]any{"version", version}, o.more...)...)
+	}
+	if whole || version > d.version {
+		d.version = version
+	}
 	t := stairvane.Topology{Kind: stairvane.ListChanges, Version: version}
 	if whole {
 		t.Kind = stairvane.ListAll
@@ -58,46 +71,6 @@
 	d.feed(t)
 }
 
-// checkList logs what is odd in a list and gives what of it is to be followed. The last of several lines for one host
-// counts. Of changes older than what was taken in already only the drains do: a box that left must not come back by them,
-// and a drain must be kept however late it comes. A complete list always counts, even an empty one.
-func (d *Director) checkList(version int64, whole bool, members []Member) []Member {
-	if whole && len(members) == 0 {
-		slog.Error("list.empty", "version", version, "known", len(d.byName))
-	}
-	if stale := !whole && version < d.version; stale {
-		slog.Warn("list.out_of_order", "version", version, "after", d.version)
-		members = slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Readiness == stairvane.Ready })
-	} else {
-		d.version = version
-	}
-	lines, at := map[string]int{}, map[string]string{} // by name; names in service by address
-	for name, h := range d.byName {
-		if !whole && h.Readiness == stairvane.Ready && !slices.ContainsFunc(members, func(m Member) bool { return m.Name == name }) {
-			at[h.Address] = name
-		}
-	}
-	for i, m := range members {
-		if _, again := lines[m.Name]; again {
-			slog.Warn("list.host_repeated", "version", version, "host", m.Name)
-		}
-		lines[m.Name] = i
-		if other := at[m.Address]; other != "" && other != m.Name && m.Readiness == stairvane.Ready {
-			slog.Warn("list.address_shared", "version", version, "addr", m.Address, "host", m.Name, "other", other)
-		}
-		if m.Readiness == stairvane.Ready {
-			at[m.Address] = m.Name
-		}
-	}
-	out := make([]Member, 0, len(lines))
-	for i, m := range members {
-		if lines[m.Name] == i {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // number gives a host its number for the module. All directors must place objects on the same caches, so it comes
 // from the name alone: the number in hex that ends it, as in s-00c41f7a, or else a hash. The first keeps the
 // placement what it is on the simulator's wire, which calls the same host by that number.
