Take in all that a round brings before any attempt is written, and close clients in order

Loop.Later: attempts go out when the round is over. - Timers ran by the clock after the round's events (transport/loop.go): after a slow round they ran before what had come meanwhile, so an answer that was there was found overdue. They run by the time at which events were asked for. - Reading from a client that takes no answers was paused (program/client.go flow): neither its end nor its revokes were seen. It is read on; its further requests are refused, and it is closed as stuck if it goes on. - Idle clients were closed over unread bytes (program/front.go evict, tidy): the reset cut off the last answer, and a request that had come was lost. All closes of unused clients read first, then end the writing side and linger for 0.5 s. The same at the end (closeIfDone), with half requests, and with the accept queue when no descriptor is free (transport/listen.go Close). - One round accepted up to 1,024 connections while those closed for them held their descriptors: 16 a round. - A second answer of a cache ended the request's next attempt on the same link, which was then out with a third one (routing/requests.go end): the next attempt of a request keeps off a link on which one was answered. - A request that came again with its id on a new connection was failed if the first was known still, and its answers could be mixed up: it waits until nothing of the first is out, at most twice for an id (routing/repeats.go). - SAME was passed on whatever tag it named; it must be the client's. - Links to all hosts together are bounded; a repeat of a keyed request is written 20 ms before its window ends at the latest, and one that is stuck half way ends with it. Two tests hoped for an order that no longer comes: the purge test expects the next attempt on another link, the one of mute clients waits for the order before it takes the request back.

--- a/internal/board/feed.go
+++ b/internal/board/feed.go
@@ -266,7 +266,7 @@
 	c.ended = true
 	body := []byte(`{"no":0,"items":[]}`)
 	c.conn.Write(bulletin.AppendHead(nil, status, len(body), true), body)
-	c.conn.CloseAfterFlush()
+	c.conn.CloseAfterFlush(0)
 	c.timer.Fire = c.conn.Close // if it does not close itself
 	c.feed.board.loop.Set(&c.timer, c.feed.board.loop.Now()+refusedWithin)
 }
@@ -332,7 +332,7 @@
 	c.conn.Write(append([][]byte{f.head}, parts...)...)
 	switch {
 	case c.call.Close:
-		c.conn.CloseAfterFlush()
+		c.conn.CloseAfterFlush(0)
 	case c.conn.Queued() > stuckQueue:
 		slog.Warn("follower.stuck", "addr", c.peer.String(), "queued_bytes", c.conn.Queued())
 		c.conn.Close()
--- a/internal/program/caches.go
+++ b/internal/program/caches.go
@@ -197,6 +197,8 @@
 	switch name {
 	case "n":
 		r.Note = noteNumbers[value]
+	case "rev":
+		r.Tag = value
 	case "since":
 		ms, err := strconv.ParseFloat(value, 64)
 		if err != nil || !(ms >= 0 && ms < 1e13) {
--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -17,7 +17,9 @@
 
 const (
 	clientStreams = 32      // requests open on one connection
-	clientQueue   = 4 << 20 // bytes that a client may leave untaken before it is read no further
+	clientQueue   = 4 << 20 // bytes that a client may leave untaken before further requests of its are refused
+	// More than the answers to all that can be open then, and refusals: it only sends and never reads.
+	clientQueueMost = 4 * clientQueue
 )
 
 // client is one connection of a client.
@@ -27,29 +29,19 @@
 	since time.Duration
 	open  map[int32]*routing.Request // by sequence number
 	ended bool                       // nothing more is taken from it
+
+	endedAt time.Duration // when we closed it, if we did
 }
 
 // Opened implements transport.Handler.
 func (c *client) Opened() {}
 
 // Flushed implements transport.Handler.
-func (c *client) Flushed() { c.flow() }
-
-// flow stops reading from a client that does not take its answers and goes on when it has.
-func (c *client) flow() {
-	stop := c.conn.Queued() > clientQueue
-	if stop != c.conn.Paused() {
-		if stop {
-			c.conn.Pause()
-		} else {
-			c.conn.Resume()
-		}
-	}
-}
+func (c *client) Flushed() {}
 
 // Closed implements transport.Handler.
 func (c *client) Closed(err error) {
-	if len(c.open) > 0 && !errors.Is(err, io.EOF) {
+	if len(c.open) > 0 && !errors.Is(err, io.EOF) && !errors.Is(err, transport.ErrLingers) {
 		slog.Info("client.gone", "open", len(c.open), "err", err)
 	}
 	c.abandon()
@@ -59,12 +51,40 @@
 func (c *client) abandon() {
 	c.ended = true
 	delete(c.front.clients, c)
+	c.front.ending = slices.DeleteFunc(c.front.ending, func(e *client) bool { return e == c })
+	c.giveUp()
+}
+
+// giveUp withdraws all that is open for a client.
+func (c *client) giveUp() {
 	for _, r := range slices.Collect(maps.Values(c.open)) {
 		c.answered(r)
 		c.front.director.Revoke(r)
 	}
 }
 
+// end closes a client in order: what was written reaches it, and what it still sends is thrown away, for a while.
+func (c *client) end() {
+	if c.ended {
+		return
+	}
+	c.ended, c.endedAt = true, c.front.loop.Now()
+	c.front.ending = append(c.front.ending, c)
+	c.giveUp()
+	c.conn.CloseAfterFlush(lingerFor)
+}
+
+// endIfUnused closes a client unless a request, or a part of one, has come by now: what the system holds already was taken, and is
+// owed its answer. It reads, so it must not be called while any connection's bytes are being handled.
+func (c *client) endIfUnused() bool {
+	c.conn.Take()
+	if c.ended || len(c.open) > 0 || c.conn.Queued() > 0 {
+		return false
+	}
+	c.end()
+	return true
+}
+
 func (c *client) dropStuck() {
 	c.front.Counts.Stuck++
 	slog.Warn("client.stuck", "queued_bytes", c.conn.Queued(), "open", len(c.open))
@@ -77,26 +97,33 @@
 	call := &c.front.call
 	for {
 		if c.ended { // what crosses the close is the client's to send again; its answer could not be written
+			if len(b) > used {
+				c.front.Counts.Crossed++
+			}
 			return len(b), 0, nil
 		}
 		n, need, err := thrift.Parse(b[used:], call)
 		if err != nil {
-			c.front.Counts.Malformed++
-			slog.Info("client.malformed", "err", err)
-			return used, 0, err
+			return len(b), 0, c.malformed(err)
 		}
 		if n == 0 {
 			return used, need, nil
 		}
 		used += n
 		if err := c.handle(call); err != nil {
-			c.front.Counts.Malformed++
-			slog.Info("client.malformed", "err", err)
-			return used, 0, err
+			return len(b), 0, c.malformed(err)
 		}
 	}
 }
 
+// malformed ends a client that sent what is no message of the protocol. What was answered before still reaches it.
+func (c *client) malformed(err error) error {
+	c.front.Counts.Malformed++
+	slog.Info("client.malformed", "err", err)
+	c.end()
+	return nil
+}
+
 func (c *client) handle(call *thrift.Call) error {
 	switch call.Method {
 	case thrift.Submit:
@@ -125,6 +152,15 @@
 	if c.open[call.Seq] != nil {
 		return fmt.Errorf("sequence number %d is open already", call.Seq)
 	}
+	// It is read on although it takes no answers, or neither its end nor what it takes back would be seen.
+	if queued := c.conn.Queued(); queued > clientQueueMost {
+		c.dropStuck()
+		return nil
+	} else if queued > clientQueue {
+		c.front.Counts.Shed++
+		c.conn.Write(thrift.AppendRefused(nil, call.Seq))
+		return nil
+	}
 	// One too many is no reason to lose the others with the connection; nor are more bodies than memory has room for.
 	if len(c.open) >= clientStreams || c.front.bodies+len(call.Body) > c.front.bodyMax {
 		c.front.Counts.Unserved++
@@ -188,14 +224,22 @@
 }
 
 func (c *client) afterAnswer() {
-	c.flow()
 	c.closeIfDone()
 	c.front.makeRoom()
 }
 
+// closeIfDone closes a client on the way out once it is owed nothing, at the end of the round: bytes that a close would cross are
+// read before. One that has sent a part of a request stays open for the rest of it, as long as the process does.
 func (c *client) closeIfDone() {
-	if c.front.closing && len(c.open) == 0 {
-		c.ended = true
-		c.conn.CloseAfterFlush()
+	if !c.front.closing || c.ended || len(c.open) > 0 {
+		return
 	}
+	c.front.loop.Later(func() {
+		if !c.ended && len(c.open) == 0 {
+			c.conn.Take()
+		}
+		if !c.ended && len(c.open) == 0 && c.conn.Unfinished() == 0 {
+			c.end()
+		}
+	})
 }
--- a/internal/program/front.go
+++ b/internal/program/front.go
@@ -24,12 +24,24 @@
 	helloWithin = 2 * time.Second
 )
 
-// stuckAfter is how long a client may take no byte of what waits for it; longer than any deadline.
+// stuckAfter is how long a client may take no byte of what waits for it, or as long as the longest deadline where that is longer.
 const stuckAfter = 10 * time.Second
 
+const (
+	// lingerFor is how long a client that we close may take to close too. Until then what it still sends is read and thrown away:
+	// a close over unread bytes would reset the connection under its last answer.
+	lingerFor = 500 * time.Millisecond
+	// crossing is how long a request may be under way towards a close; after that a closed connection can make room at once.
+	crossing = 50 * time.Millisecond
+	// lingerShare is the part of the clients' descriptors that closed connections may hold beyond the open ones.
+	lingerShare = 8
+)
+
 // FrontCounts is what the front has seen.
 type FrontCounts struct {
 	Connections, Turned, Evicted, Mute, Malformed, Unserved, Heartbeats, Stuck int64
+	// Shed are requests of clients that leave their answers untaken, Crossed what came on a connection after its close.
+	Shed, Crossed int64
 }
 
 // front accepts clients and turns their calls into requests.
@@ -38,9 +50,11 @@
 	loop     *transport.Loop
 	director *routing.Director
 	listener *transport.Listener
-	clients  map[*client]struct{}
+	clients  map[*client]struct{} // those that linger are among them
 	most     int
 	idle     time.Duration
+	stuck    time.Duration // see stuckAfter
+	ending   []*client     // those that linger, in the order of their closes
 
 	helloWithin time.Duration
 	queueMax    int // bytes of answers that clients together may leave untaken
@@ -48,6 +62,7 @@
 	bodies      int
 	leaving     bool // on the way out: not admitted any more
 	closing     bool // no more requests are expected
+	shut        bool // and nobody waits to be accepted
 	call        thrift.Call
 	head        []byte // reused by every answer
 	tail        []byte
@@ -57,7 +72,7 @@
 
 func newFront(loop *transport.Loop, d *routing.Director, listen netip.AddrPort, most int, idle time.Duration, memory int) (*front, error) {
 	f := &front{loop: loop, director: d, clients: map[*client]struct{}{}, most: most, idle: idle, helloWithin: helloWithin,
-		queueMax: memory / 6, bodyMax: memory / 8}
+		stuck: stuckAfter, queueMax: memory / 6, bodyMax: memory / 8}
 	var err error
 	f.listener, err = loop.Listen(listen, func() transport.Handler { return &client{front: f, open: map[int32]*routing.Request{}} },
 		func(c *transport.Conn, h transport.Handler) { f.admit(c, h.(*client)) })
@@ -83,20 +98,34 @@
 	f.clients[c] = struct{}{}
 }
 
-// evict closes the connection that has been without use for longest, if there is one: nobody is owed an answer on it.
+// evict makes room for one more: a connection that was closed a while ago goes, or else the one that has been without use for
+// longest is closed, on which nobody is owed an answer. That one holds its descriptor a little longer, so that its last answer and
+// the close reach it; as many as lingerShare allows may do so beyond the clients' part.
 func (f *front) evict() bool {
-	var idlest *client
-	for c := range f.clients {
-		if c.idle() && (idlest == nil || c.conn.LastUse() < idlest.conn.LastUse()) {
-			idlest = c
+	lingerMost := f.most/lingerShare + 1
+	if n := len(f.ending); n > 0 && (f.loop.Now()-f.ending[0].endedAt >= crossing || n >= lingerMost) {
+		c := f.ending[0]
+		c.conn.Close()
+		c.abandon()
+		if len(f.clients) < f.most {
+			return true
 		}
 	}
-	if idlest == nil {
-		return false
+	for len(f.clients) >= f.most {
+		var idlest *client
+		for c := range f.clients {
+			if c.idle() && (idlest == nil || c.conn.LastUse() < idlest.conn.LastUse()) {
+				idlest = c
+			}
+		}
+		if idlest == nil {
+			return false
+		}
+		if idlest.endIfUnused() { // else its request came meanwhile, or it has gone
+			f.Counts.Evicted++
+			return len(f.clients) < f.most+lingerMost
+		}
 	}
-	f.Counts.Evicted++
-	delete(f.clients, idlest)
-	idlest.conn.Close()
 	return true
 }
 
@@ -104,8 +133,8 @@
 // for a request that crosses the close is sent again; a new one's first request must have had the time to come. Waiting
 // for both alike turned away whoever came when many ask once and hold their connection.
 func (c *client) idle() bool {
-	return len(c.open) == 0 && c.conn.Queued() == 0 &&
-		(c.conn.Sent() || c.front.loop.Now()-c.conn.LastUse() >= evictAfter)
+	return !c.ended && len(c.open) == 0 && c.conn.Queued() == 0 &&
+		(c.conn.Sent() && c.conn.Unfinished() == 0 || c.front.loop.Now()-c.conn.LastUse() >= evictAfter)
 }
 
 // tidy closes connections that nobody uses.
@@ -114,15 +143,15 @@
 	f.loop.Set(&f.sweep, now+sweepEvery)
 	for c := range f.clients {
 		switch unused := now - c.conn.LastUse(); {
-		case c.conn.Queued() > 0 && unused >= stuckAfter:
+		case c.conn.Queued() > 0 && unused >= f.stuck:
 			c.dropStuck()
+		case c.ended: // it lingers
 		case len(c.open) == 0 && !c.conn.Sent() && now-c.since >= f.helloWithin:
-			f.Counts.Mute++
-			delete(f.clients, c)
-			c.conn.Close()
+			if c.endIfUnused() {
+				f.Counts.Mute++
+			}
 		case len(c.open) == 0 && c.conn.Queued() == 0 && unused >= f.idle:
-			delete(f.clients, c)
-			c.conn.Close()
+			c.endIfUnused()
 		}
 	}
 }
@@ -147,7 +176,7 @@
 // finish ends the taking in: what has come is answered, then its connection is closed.
 func (f *front) finish() {
 	f.closing = true
-	f.listener.Close()
+	f.shut = f.listener.Close()
 	for c := range f.clients {
 		c.closeIfDone()
 	}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -28,7 +28,7 @@
 	defaultDial    = 400 * time.Millisecond
 	sayWithin      = 300 * time.Millisecond // for the board to hear that a director leaves
 
-	spareSockets = 32 // for the listener, the loop, the bulletin, logs
+	spareSockets = 32 // for the listener, the loop, the bulletin, logs, and what a round has closed and not yet given back
 	mostLinks    = 16 // to one host
 	likelyHosts  = 24
 )
@@ -71,6 +71,7 @@
 	// The other end closes after the same time: an order sent into that close would be lost, so links go before.
 	limits.IdleAfter = idle * 4 / 5
 	clients := c.Sockets/3 + c.Sockets/20
+	limits.Links = max(likelyHosts, c.Sockets-clients-clients/lingerShare-spareSockets)
 	limits.LinksPerHost = min(mostLinks, max(1, (c.Sockets-clients-spareSockets)/likelyHosts))
 
 	p := &Program{loop: loop, config: c, core: own}
@@ -106,6 +107,7 @@
 	if p.front, err = newFront(loop, d, c.Listen, clients, idle, c.MemoryMB<<20); err != nil {
 		return nil, err
 	}
+	p.front.stuck = max(stuckAfter, limits.LongestAnswer)
 	if limits.Behind != nil {
 		p.front.well = func() bool { return !p.roll.behind() }
 	}
@@ -168,7 +170,7 @@
 
 func (p *Program) leaveIfDone() {
 	now := p.loop.Now()
-	if !p.front.closing {
+	if !p.front.shut {
 		p.front.finish()
 	}
 	if p.director.Open() > 0 {
--- a/internal/program/stories_test.go
+++ b/internal/program/stories_test.go
@@ -134,6 +134,7 @@
 		t.Fatalf("no age cap after a purge: %v", f)
 	}
 	box.answer(ridA, "OK", fmt.Sprintf("n=local,since=%d", issued-1), "old")
+	box = c.accept() // not on the link on which the first attempt was answered: it may be answered there again
 	box.order()
 	box.answer(ridA, "OK", fmt.Sprintf("n=pulled,since=%d", issued+1), "new")
 	client.want(1, 0, "new")
@@ -273,6 +274,9 @@
 	box.order()
 	half.write(half.submitText(ridB, objB, time.Second)[:20])
 	fickle.submit(ridC, objB)
+	if id, _ := box.order(); id != ridC { // it is out before it is taken back, or nothing of it would ever be seen
+		t.Fatalf("order %s", id)
+	}
 	fickle.write(fickle.call(4, "revoke", "\x08\x00\x01"+be32(1)))
 	for w := box.words(); w[0] != "undo"; w = box.words() {
 	}
--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -27,11 +27,18 @@
 	purges  purges
 	events  []stairvane.Event
 	feeding bool
-	spare   []*alarm
-	pings   int64 // made so far
-	upkeep  transport.Timer
-	told    time.Duration // see Told
-	version int64         // of the last list taken in
+	outbox  []*attempt // to be sent when the round is over
+	woken   []*host    // with attempts that wait and may have a link now
+	sending bool       // sendOut is due
+	links   int        // to all hosts
+
+	former      map[stairvane.RequestID]*former
+	formerOrder []*former // the oldest first
+	spare       []*alarm
+	pings       int64 // made so far
+	upkeep      transport.Timer
+	told        time.Duration // see Told
+	version     int64         // of the last list taken in
 }
 
 // upkeepEvery paces the closing of idle links and the forgetting of purges.
@@ -39,6 +46,7 @@
 
 // class is what the guards need to know of a class.
 type class struct {
+	effect       stairvane.Effect
 	keeps        bool            // its answers are copies
 	oldest       time.Duration   // that a copy may be; 0: any age
 	resendWithin time.Duration   // of the first attempt that may have run; 0: the module's decision alone
@@ -52,10 +60,11 @@
 		classes: map[string]class{},
 		hosts:   map[stairvane.HostID]*host{}, byName: map[string]*host{},
 		known:  map[stairvane.RequestID]*request{},
+		former: map[stairvane.RequestID]*former{},
 		purges: newPurges(),
 	}
 	for _, c := range s.Classes {
-		k := class{keeps: !c.Uncacheable}
+		k := class{effect: c.Effect, keeps: !c.Uncacheable}
 		if c.Fresh > 0 {
 			k.oldest = c.Fresh + c.StaleExtra
 		}
@@ -242,6 +251,7 @@
 			delete(d.byName, h.Name)
 		}
 	}
+	d.tidyFormer(now)
 	// A fill may end late: a purge is held against answers for as long as one may be out, and more.
 	d.purges.forget(now - 2*d.limits.PurgeDone - d.limits.LongestAnswer)
 }
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -21,6 +21,7 @@
 	told     time.Duration // when its present state was told
 	links    []*link
 	waiting  []*attempt
+	awake    bool // its waiting attempts are looked at when the round is over
 }
 
 // born names the very process that serves as the host, as far as the list tells its birth.
@@ -173,6 +174,11 @@
 		}
 	}
 	for coming*d.limits.Streams < len(h.waiting) && usable < d.limits.LinksPerHost {
+		if !d.roomForLink() {
+			slog.Warn("link.no_room", "host", h.Name, "links", d.links)
+			h.refuseWaiting()
+			return
+		}
 		now := d.loop.Now()
 		l := &link{host: h, dialedAt: now, idleSince: now, open: map[string]*attempt{}, pings: map[string]*attempt{}}
 		l.pong.Fire, l.check.Fire = l.dead, l.probe
@@ -185,10 +191,32 @@
 		d.Counts.Dials++
 		l.conn = conn
 		h.links = append(h.links, l)
+		d.links++
 		coming, usable = coming+1, usable+1
 	}
 }
 
+// roomForLink tells whether one more link may be opened. Where the links' part of the descriptors is used up, the one that has
+// been idle for longest makes room.
+func (d *Director) roomForLink() bool {
+	if d.limits.Links == 0 || d.links < d.limits.Links {
+		return true
+	}
+	var idlest *link
+	for _, h := range d.hosts {
+		for _, l := range h.links {
+			if l.up && len(l.open)+len(l.pings) == 0 && (idlest == nil || l.idleSince < idlest.idleSince) {
+				idlest = l
+			}
+		}
+	}
+	if idlest == nil {
+		return false
+	}
+	idlest.drop()
+	return true
+}
+
 // refuseWaiting ends the attempts that wait when no link is left that could take them: none has run.
 func (h *host) refuseWaiting() {
 	if slices.ContainsFunc(h.links, func(l *link) bool { return !l.retired && !l.silent() }) {
@@ -200,11 +228,18 @@
 	}
 }
 
+// wake has what waits looked at when the round is over.
+func (h *host) wake() {
+	if len(h.waiting) == 0 || h.awake {
+		return
+	}
+	h.awake = true
+	h.director.woken = append(h.director.woken, h)
+	h.director.sendLater()
+}
+
 // sendWaiting sends what waits, in order, as far as links have room.
 func (h *host) sendWaiting() {
-	if refresh := h.director.limits.Refresh; refresh != nil && len(h.waiting) > 0 {
-		refresh()
-	}
 	for _, a := range slices.Clone(h.waiting) {
 		if a.ended {
 			continue
@@ -244,25 +279,26 @@
 func (l *link) remove() {
 	l.pong.Stop()
 	l.check.Stop()
+	if slices.Contains(l.host.links, l) {
+		l.host.director.links--
+	}
 	l.host.links = slices.DeleteFunc(l.host.links, func(o *link) bool { return o == l })
 }
 
 // Up implements LinkEvents.
 func (l *link) Up() {
 	l.up = true
-	l.host.sendWaiting()
+	l.host.wake()
 }
 
 // Flushed implements LinkEvents.
 func (l *link) Flushed() {
 	if a := l.partial; a != nil {
 		a.whole, l.partial = true, nil
-		if t := a.what.Timeout; t > 0 { // an attempt's time starts when it has come whole to the cache
-			d := l.host.director
-			d.loop.Set(&a.timer, min(d.loop.Now()+t, a.req.deadline))
-		}
+		d := l.host.director
+		d.loop.Set(&a.timer, d.patience(a, d.loop.Now())) // an attempt's time starts when it has come whole to the cache
 	}
-	l.host.sendWaiting()
+	l.host.wake()
 }
 
 // Reply implements LinkEvents.
@@ -279,9 +315,7 @@
 	l.idleSince = d.loop.Now()
 	d.count(r.Status)
 	d.end(a, r)
-	if len(l.host.waiting) > 0 {
-		l.host.sendWaiting()
-	}
+	l.host.wake()
 	if l.retired {
 		l.closeIfIdle()
 	}
@@ -394,9 +428,7 @@
 		}
 	}
 	l.host.refuseWaiting()
-	if len(l.host.waiting) > 0 {
-		l.host.sendWaiting()
-	}
+	l.host.wake()
 }
 
 func (d *Director) count(s stairvane.Status) {
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -15,14 +15,17 @@
 	key      stairvane.RequestID
 	deadline time.Duration
 	answered bool
+	left     bool          // its client has gone, or takes it back
 	ranAt    time.Duration // when the first attempt that may have run was sent; 0: none has
+	next     *repeat       // comes with the same id and waits until nothing of this one is out
+	times    int           // that the id has come before
 
 	claimed   string // the group of caches that its token is claimed for; empty: none
 	claimedAt time.Duration
 	claimOwn  bool // the claim is this request's own
 	out       int
 	attempts  []*attempt
-	spoiled   []*link // on which an undone attempt may still be answered
+	spoiled   []*link // on which an attempt of it was answered, or may still be: the next one could be taken to be answered there
 	unread    []*link // whose other end may not have read an undo yet
 }
 
@@ -38,23 +41,31 @@
 	link      *link // nil while it waits
 	whole     bool  // the system has taken all of it: from here on it may have run
 	ended     bool
-	uncleared int // pings that it waits for
+	have      string // the tag of the client's copy that went with it
+	uncleared int    // pings that it waits for
 	timer     transport.Timer
 }
 
+// resendMargin is left of the time in which a repeat is dropped, for its way to the cache.
+const resendMargin = 20 * time.Millisecond
+
 const behindHoldOff = 500 * time.Millisecond // for a client to stay away from a director whose news are too old
 
 // Submit takes a request in. Its caller gets one final answer.
 func (d *Director) Submit(r *Request) {
 	d.Counts.Taken++
 	key := stairvane.RequestID(r.ID)
-	// The module would take a second request of the same id for the first; the caller is owed an answer all the same.
-	if d.known[key] != nil {
+	if first := d.known[key]; first != nil {
 		slog.Debug("request.id_open_already", "id", r.ID)
-		d.Counts.Failed++
-		r.Caller.Fail(r)
+		d.again(first, r)
 		return
 	}
+	d.take(r, d.loop.Now()+r.Budget)
+}
+
+// take takes a request in whose id no other has.
+func (d *Director) take(r *Request, deadline time.Duration) {
+	key := stairvane.RequestID(r.ID)
 	if d.limits.MaxOpen > 0 && d.open >= d.limits.MaxOpen {
 		d.Counts.Refused++
 		r.Caller.Refuse(r, 0)
@@ -71,21 +82,40 @@
 		r.Caller.Fail(r)
 		return
 	}
-	d.known[key] = &request{Request: r, key: key, deadline: d.loop.Now() + r.Budget}
+	q := &request{Request: r, key: key, deadline: deadline}
+	if !d.inherit(q) {
+		d.Counts.Failed++
+		r.Caller.Fail(r)
+		if d.limits.Release != nil {
+			d.limits.Release(r.ID)
+		}
+		return
+	}
+	d.known[key] = q
 	d.open++
 	d.feed(stairvane.Query{Request: key, Object: r.Object, Part: r.Part, Group: r.Group, Class: r.Class,
-		SizeKB: r.SizeKB, TimeLeft: r.Budget})
+		SizeKB: r.SizeKB, TimeLeft: max(0, deadline-d.loop.Now())})
 }
 
 // Revoke ends a request whose client has gone; no answer follows.
 func (d *Director) Revoke(r *Request) {
-	q := d.unanswered(stairvane.RequestID(r.ID))
-	if q == nil || q.Request != r {
-		return
+	q := d.known[stairvane.RequestID(r.ID)]
+	switch {
+	case q == nil:
+	case q.next != nil && q.next.Request == r:
+		d.Counts.Revoked++
+		d.takeRepeat(q)
+	case q.Request == r && !q.answered:
+		d.Counts.Revoked++
+		q.left = true
+		d.conclude(q)
+		d.feed(stairvane.Left{Request: q.key})
+		for _, a := range q.attempts { // the module can't call off what waits where attempts are never called off
+			if !a.ended && a.link == nil {
+				d.end(a, &Reply{Status: stairvane.Moot})
+			}
+		}
 	}
-	d.Counts.Revoked++
-	d.conclude(q)
-	d.feed(stairvane.Left{Request: q.key})
 }
 
 // unanswered is the request of that id if it is still owed its final answer.
@@ -110,9 +140,13 @@
 			d.limits.Claims.GiveUp(q.Token, q.ID)
 		}
 		delete(d.known, q.key)
+		d.remember(q)
 		if d.limits.Release != nil {
 			d.limits.Release(q.ID)
 		}
+		if p := d.takeRepeat(q); p != nil {
+			d.take(p.Request, p.deadline)
+		}
 	}
 }
 
@@ -165,17 +199,46 @@
 	}
 }
 
-// place sends an attempt or has it wait for a link.
+// place sends an attempt, or has it wait for a link, at the end of the round. What the same round still brings decides about it: its
+// client may have gone or taken it back, the link's other end may have closed, the host may drain.
 func (d *Director) place(a *attempt) {
+	d.outbox = append(d.outbox, a)
+	d.sendLater()
+}
+
+func (d *Director) sendLater() {
+	if !d.sending {
+		d.sending = true
+		d.loop.Later(d.sendOut)
+	}
+}
+
+// sendOut sends what was decided on, or waits and has a link now.
+func (d *Director) sendOut() {
 	if d.limits.Refresh != nil {
 		d.limits.Refresh()
 	}
-	if l := a.host.pick(a.req); l != nil {
-		d.send(a, l)
-		return
+	for len(d.woken)+len(d.outbox) > 0 {
+		for len(d.woken) > 0 {
+			h := d.woken[0]
+			d.woken, h.awake = d.woken[1:], false
+			h.sendWaiting()
+		}
+		outbox := d.outbox
+		d.outbox = nil
+		for _, a := range outbox {
+			if a.ended {
+				continue
+			}
+			if l := a.host.pick(a.req); l != nil {
+				d.send(a, l)
+				continue
+			}
+			a.host.waiting = append(a.host.waiting, a)
+			a.host.dialMore()
+		}
 	}
-	a.host.waiting = append(a.host.waiting, a)
-	a.host.dialMore()
+	d.sending = false
 }
 
 // send writes an attempt, unless what was decided does not hold any more.
@@ -188,10 +251,7 @@
 		return
 	}
 	q := a.req
-	until := q.deadline
-	if a.what.Timeout > 0 {
-		until = min(until, now+a.what.Timeout)
-	}
+	until := d.patience(a, now)
 	o := Order{
 		ID: q.ID, Class: q.Class, Object: q.Object, Part: q.Part, Patience: until - now, Token: q.Token,
 		Rank: a.what.Rank, MaxAge: a.what.MaxAge, Options: a.what.Options, Body: q.Body,
@@ -203,7 +263,7 @@
 		o.Have = q.Have
 	}
 	d.Counts.Attempts++
-	a.sentAt, a.link = now, l
+	a.sentAt, a.link, a.have = now, l, o.Have
 	l.open[q.ID] = a
 	l.idleSince = now
 	if l.quiet == 0 {
@@ -216,14 +276,27 @@
 	l.conn.Send(&o)
 	if a.whole = l.conn.Drained(); !a.whole {
 		l.partial = a
+		if w := d.classes[q.Class].resendWithin; q.ranAt > 0 && w > 0 {
+			until = min(until, q.ranAt+w-resendMargin) // it counts from when it has come whole
+		}
 	}
 	d.loop.Set(&a.timer, until)
 }
 
+// patience is until when an attempt that is sent now may take.
+func (d *Director) patience(a *attempt, now time.Duration) time.Duration {
+	if t := a.what.Timeout; t > 0 {
+		return min(a.req.deadline, now+t)
+	}
+	return a.req.deadline
+}
+
 // stale tells why an attempt that had to wait must not be sent any more. It guards the rules on drains and purges
 // and on time-outs, which count from the sending, while the module decided when it asked.
 func (d *Director) stale(a *attempt, now time.Duration) string {
 	switch {
+	case a.req.answered:
+		return "its client has gone"
 	case now+time.Millisecond > a.req.deadline:
 		return "its time is over"
 	case d.limits.Behind != nil && d.limits.Behind():
@@ -236,7 +309,7 @@
 		return "its part of the cold budget is over"
 	case now > a.decidedAt && d.purges.toldSince(a.req, a.decidedAt):
 		return "its age cap is from before a purge"
-	case a.req.ranAt > 0 && d.classes[a.req.Class].resendWithin > 0 && now-a.req.ranAt >= d.classes[a.req.Class].resendWithin:
+	case a.req.ranAt > 0 && d.classes[a.req.Class].resendWithin > 0 && now-a.req.ranAt >= d.classes[a.req.Class].resendWithin-resendMargin:
 		return "a repeat would not be dropped any more"
 	case a.req.claimOwn && a.req.ranAt == 0 && a.req.out == 1 && now-a.req.claimedAt > sendWithin:
 		return "its claim was asked for too long ago"
@@ -292,7 +365,7 @@
 	}
 	// Attempts share the request's id: an answer that has crossed the undo must not pass for its successor's, so
 	// the successor never takes this link.
-	a.req.spoiled = append(a.req.spoiled, l)
+	a.req.spoil(l)
 	a.req.unread = append(a.req.unread, l)
 	l.conn.Undo(a.req.ID)
 	if !l.conn.Drained() {
@@ -327,11 +400,21 @@
 			d.serve(q, r)
 		}
 	}
+	if a.link != nil && !q.answered {
+		q.spoil(a.link) // some caches answer twice, the second time some milliseconds late
+	}
 	d.forget(q)
 	d.feed(stairvane.Answer{Request: q.key, Terminal: q.answered, Host: a.what.Host, Attempt: a.number, Note: r.Note,
 		Status: status, Elapsed: d.loop.Now() - a.decidedAt, Report: r.Report})
 }
 
+// spoil keeps further attempts of a request off a link.
+func (q *request) spoil(l *link) {
+	if !slices.Contains(q.spoiled, l) {
+		q.spoiled = append(q.spoiled, l)
+	}
+}
+
 // mayHaveRun tells whether an end leaves open that the attempt has run.
 func mayHaveRun(s stairvane.Status) bool {
 	switch s {
@@ -359,7 +442,7 @@
 // client gets is the director's to answer for.
 func (d *Director) unfitCopy(a *attempt, r *Reply) string {
 	q := a.req
-	if r.Same && q.Have == "" {
+	if r.Same && (a.have == "" || r.Tag != a.have) {
 		return "it speaks of a copy that the client does not hold"
 	}
 	k := d.classes[q.Class]
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -52,7 +52,8 @@
 // Reply is how a cache answered an order.
 type Reply struct {
 	Status stairvane.Status
-	Same   bool // the client's copy is the one; there is no body
+	Same   bool   // the client's copy is the one; there is no body
+	Tag    string // of the copy; empty: not told
 	Body   []byte
 	Note   stairvane.Note
 	Since  time.Duration // when the origin gave out this copy; 0: not told
@@ -94,6 +95,7 @@
 	MaxOpen       int           // requests
 	Streams       int           // attempts on one link at a time
 	LinksPerHost  int           // at most
+	Links         int           // to all hosts together, at most; 0: no limit
 	IdleAfter     time.Duration // after which an unused link is closed
 	SilentAfter   time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
 	DialTimeout   time.Duration
@@ -126,6 +128,7 @@
 // Counts is what a director has taken in, sent and answered.
 type Counts struct {
 	Taken, Served, Same, Refused, Failed, Revoked        int64
+	Repeats                                              int64
 	Attempts, Undone, LateReplies, GuardStops, Withheld  int64
 	Claimed, Bound, Unclaimed, Reused, Behind            int64
 	OK, Miss, Full, Errors, Void, TimedOut, Reset, NoCon int64
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -30,7 +30,6 @@
 	dialing bool
 	closed  bool
 	fin     bool // no more is to be written
-	paused  bool
 	watched uint32
 	in      []byte // what has come and is not used yet
 	need    int
@@ -38,12 +37,16 @@
 	outHead int // bytes of out[0] already written
 	outSize int
 	lastUse time.Duration
-	sent    bool // anything at all
-	dial    Timer
+	sent    bool  // anything at all
+	limit   Timer // on coming up, later on the other end's close after ours
+	linger  time.Duration
 }
 
-// ErrDialTimeout is why a connection that did not come up in time was closed.
-var ErrDialTimeout = errors.New("dial timed out")
+// ErrDialTimeout is why a connection that did not come up in time was closed; ErrLingers, one whose other end did not close.
+var (
+	ErrDialTimeout = errors.New("dial timed out")
+	ErrLingers     = errors.New("the other end stays open after the close")
+)
 
 // Dial starts to connect. Either Opened or Closed follows, never before Dial has returned.
 func (l *Loop) Dial(addr netip.AddrPort, timeout time.Duration, h Handler) (*Conn, error) {
@@ -61,8 +64,8 @@
 		return nil, err
 	}
 	c.dialing = true
-	c.dial.Fire = func() { c.fail(ErrDialTimeout) }
-	l.Set(&c.dial, l.now+timeout)
+	c.limit.Fire = func() { c.fail(ErrDialTimeout) }
+	l.Set(&c.limit, l.now+timeout)
 	return c, nil
 }
 
@@ -103,31 +106,39 @@
 func (c *Conn) Queued() int { return c.outSize }
 
 // CloseAfterFlush sends what is queued, then ends the writing side and waits for the peer to close, so that
-// unread input cannot reset the connection under the last answer.
-func (c *Conn) CloseAfterFlush() {
+// unread input cannot reset the connection under the last answer. Input goes on coming to Data. The peer may take as long as
+// linger says; 0: for good.
+func (c *Conn) CloseAfterFlush(linger time.Duration) {
 	if c.closed || c.fin {
 		return
 	}
-	c.fin = true
+	c.fin, c.linger = true, linger
 	if c.outSize == 0 {
-		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+		c.endWriting()
 	}
 }
 
-// Pause stops reading; Resume goes on.
-func (c *Conn) Pause() {
-	c.paused = true
-	c.watch()
+func (c *Conn) endWriting() {
+	_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	if c.linger > 0 {
+		c.limit.Fire = func() { c.fail(ErrLingers) }
+		c.loop.Set(&c.limit, c.loop.now+c.linger)
+	}
 }
 
-// Resume goes on reading after Pause.
-func (c *Conn) Resume() {
-	c.paused = false
-	c.watch()
-}
+// Ending tells whether CloseAfterFlush was called.
+func (c *Conn) Ending() bool { return c.fin }
 
-// Paused tells whether reading is stopped.
-func (c *Conn) Paused() bool { return c.paused }
+// Unfinished is how many bytes have come that are no whole message yet.
+func (c *Conn) Unfinished() int { return len(c.in) }
+
+// Take reads what has come by now, as far as one turn goes. It must not be called from within Data of any connection, whose bytes
+// it would overwrite; see Loop.Later.
+func (c *Conn) Take() {
+	if !c.closed && !c.dialing {
+		c.read()
+	}
+}
 
 // Close ends the connection at once. Closed is not called.
 func (c *Conn) Close() {
@@ -135,7 +146,7 @@
 		return
 	}
 	c.closed = true
-	c.dial.Stop()
+	c.limit.Stop()
 	// The descriptor is closed when the batch is over. The peer must hear of the end before anything that the same
 	// batch sends it elsewhere: a request that goes on there would be out twice.
 	_ = unix.Shutdown(c.fd, unix.SHUT_RDWR)
@@ -162,7 +173,7 @@
 		return
 	}
 	var events uint32
-	if !c.paused && !c.dialing {
+	if !c.dialing {
 		events |= unix.EPOLLIN
 	}
 	if c.dialing || c.outSize > 0 {
@@ -185,22 +196,9 @@
 	if events&unix.EPOLLOUT != 0 && c.outSize > 0 {
 		c.flush()
 	}
-	if !c.closed && !c.paused && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+	if !c.closed && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		c.read()
-	} else if !c.closed && events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
-		c.fail(c.socketError()) // paused: epoll reports these all the same, and would for ever
-	}
-}
-
-func (c *Conn) socketError() error {
-	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
-	if err != nil {
-		return err
-	}
-	if code != 0 {
-		return unix.Errno(code)
 	}
-	return unix.ECONNRESET
 }
 
 func (c *Conn) finishDial() {
@@ -213,7 +211,7 @@
 		return
 	}
 	c.dialing = false
-	c.dial.Stop()
+	c.limit.Stop()
 	c.lastUse = c.loop.now
 	c.watch()
 	c.handler.Opened()
--- a/internal/transport/io.go
+++ b/internal/transport/io.go
@@ -76,7 +76,7 @@
 	c.out = nil
 	c.watch()
 	if c.fin {
-		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+		c.endWriting()
 	}
 	c.handler.Flushed()
 }
@@ -109,7 +109,7 @@
 			c.in = c.in[:len(c.in)+n]
 			data = c.in
 		}
-		if !c.consume(data) || c.paused || n < len(space) {
+		if !c.consume(data) || n < len(space) {
 			return
 		}
 	}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"time"
 
@@ -13,6 +14,8 @@
 const (
 	backlog     = 1024
 	acceptPause = 50 * time.Millisecond // after descriptors ran out, so that a full table is not polled in a circle
+	// acceptsPerTurn bounds what one round accepts: what is closed to make room is free only when the round is over.
+	acceptsPerTurn = 16
 )
 
 // Listener accepts connections.
@@ -78,31 +81,38 @@
 	return netip.AddrPort{}, errors.New("unknown family of address")
 }
 
-// Close takes in what the system has accepted already, then stops listening.
-func (ln *Listener) Close() {
+// Close takes in what the system has accepted already, then stops listening, and tells whether that is done. It is not where
+// descriptors ran out: who waits to be taken in would be turned away unheard. Then it is to be called again.
+func (ln *Listener) Close() bool {
 	if ln.closed {
-		return
+		return true
+	}
+	if !ln.take(math.MaxInt) {
+		return false
 	}
-	ln.ready(0)
 	ln.closed = true
 	ln.retry.Stop()
 	ln.loop.drop(ln.fd)
+	return true
 }
 
-func (ln *Listener) ready(uint32) {
-	for !ln.closed {
+func (ln *Listener) ready(uint32) { ln.take(acceptsPerTurn) }
+
+// take accepts as many as that, and tells whether nobody waits any more.
+func (ln *Listener) take(most int) bool {
+	for range most {
 		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case errors.Is(err, unix.EAGAIN):
 			ln.poll(unix.EPOLLIN)
-			return
+			return true
 		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
 			continue
 		case err != nil:
 			slog.Warn("accept.failed", "err", err, "again_in_ms", acceptPause.Milliseconds())
 			ln.poll(0)
 			ln.loop.Set(&ln.retry, ln.loop.now+acceptPause)
-			return
+			return false
 		}
 		h := ln.accept()
 		c, err := ln.loop.open(fd, unix.EPOLLIN, h)
@@ -112,6 +122,8 @@
 		}
 		ln.opened(c, h)
 	}
+	ln.poll(unix.EPOLLIN)
+	return false
 }
 
 func (ln *Listener) poll(events uint32) {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	eventBatch = 128
+	// A round takes in all that is there: a director has fewer descriptors than this.
+	eventBatch = 1024
 	readSpace  = 512 << 10 // shared by all connections; holds a whole message of any protocol here
 )
 
@@ -34,6 +35,8 @@
 	queued    int
 	posts     chan func()
 	stopped   bool
+	inRound   bool
+	later     []func()
 	reusePort bool
 	ended     chan struct{} // closed when nothing will run any more
 	OnWake    func()        // after Poke; set before Run
@@ -105,6 +108,16 @@
 // Stop makes Run return after the current round.
 func (l *Loop) Stop() { l.stopped = true }
 
+// Later runs f when the round that is going on has taken in all that came and all timers that are due; at once where there is no
+// round. What rests on the whole of a round, such as whether a request's client or a connection is still there, is decided there.
+func (l *Loop) Later(f func()) {
+	if !l.inRound {
+		f()
+		return
+	}
+	l.later = append(l.later, f)
+}
+
 // Run serves until Stop.
 func (l *Loop) Run() error {
 	defer l.release()
@@ -117,6 +130,8 @@
 			return fmt.Errorf("epoll wait: %w", err)
 		}
 		l.refresh()
+		polled := l.now
+		l.inRound = true
 		for _, ev := range events[:max(n, 0)] {
 			if int(ev.Fd) == l.wake {
 				l.drainPosts()
@@ -124,8 +139,15 @@
 				s.ready(ev.Events)
 			}
 		}
-		l.refresh()
-		l.wheel.advance(l.now)
+		// Only what was due when the events were asked for: a round may take long, and what came meanwhile goes first. An answer
+		// that is there must not be found overdue because the loop was held up.
+		l.wheel.advance(polled)
+		for i := 0; i < len(l.later); i++ { // they may add some
+			l.later[i]()
+		}
+		clear(l.later)
+		l.later = l.later[:0]
+		l.inRound = false
 		l.closeNow()
 	}
 	return nil
--- a/router.go
+++ b/router.go
@@ -139,7 +139,7 @@
 		r.do(Drop{Request: e.Request}) // of a class of unknown effect nothing can be promised
 		return
 	}
-	q := &request{Query: e, class: class, key: objectPart{e.Object, e.Part}, arrived: r.now}
+	q := &request{Query: e, class: class, key: objectPart{e.Object, e.Part, class, e.Tenant}, arrived: r.now}
 	r.open[e.Request] = q
 	c := r.settings(q)
 	q.send = r.sendTime(q)
--- a/router_test.go
+++ b/router_test.go
@@ -185,7 +185,7 @@
 	b := start(t, site())
 	pick := func() (out []HostID) {
 		for i := range 300 {
-			out = append(out, b.r.pickCache(&request{key: objectPart{ObjectID(i), 0}, aimAt: time.Hour * 2}).Host)
+			out = append(out, b.r.pickCache(&request{key: objectPart{object: ObjectID(i)}, aimAt: time.Hour * 2}).Host)
 		}
 		return out
 	}
@@ -1231,7 +1231,7 @@
 	}
 	drawn := func() (n int) {
 		for i := range 200 {
-			q := &request{Query: Query{Object: ObjectID(i)}, key: objectPart{ObjectID(i), 0}}
+			q := &request{Query: Query{Object: ObjectID(i)}, key: objectPart{object: ObjectID(i)}}
 			n += int(bool01(b.r.pickSource(q) == doubted))
 		}
 		return n
--- a/state.go
+++ b/state.go
@@ -33,9 +33,13 @@
 	phased   bool // its tokens have begun, at a random part of one where many share few
 }
 
+// objectPart is what one entry of the table stands for: a part of an object as one class asks for it, and one tenant. What another
+// class or tenant has open is no fill of theirs, whatever the object is called.
 type objectPart struct {
 	object ObjectID
 	part   int
+	class  int
+	tenant string
 }
 
 // entry is one open attempt of the table.
