Let one unreadable event of discovery, and a pause before a move, hold up nothing

Seen by reading: an event that can't be read spoilt the whole answer, so that its connection was left and the same answer asked for again, for good (protocol/bulletin Decode); it is logged by its number, counted and passed over. The timer of the pause between two connections was not stopped by a move (program/feed.go move, connect), and cut off the new connection while it came up: the timer has one meaning at a time now, and is stopped when a connection is begun.

--- a/internal/program/feed.go
+++ b/internal/program/feed.go
@@ -52,20 +52,29 @@
 	called   time.Duration       // when the call that is open was made, since the machine started
 	saying   bool                // it has said that the director leaves
 	said     bool                // and was answered
+
+	unreadable int // events that were passed over
 }
 
 func newFeed(loop *transport.Loop, d *routing.Director, addrs []netip.AddrPort, crowd int, seed uint64) *feed {
 	f := &feed{loop: loop, director: d, addr: addrs[0], addrs: addrs, retry: feedRetryMin, crowd: max(1, crowd),
 		rng: rand.New(rand.NewPCG(seed, 1))}
-	f.timer.Fire = f.connect
+	f.timer.Fire = f.overdue
 	return f
 }
 
-func (f *feed) connect() {
+// overdue is the timer's: it ends a call without an answer, or a pause between two connections. Which of the two is known by
+// whether there is a connection, so it runs for nothing else; while one comes up, that has a time-out of its own.
+func (f *feed) overdue() {
 	if f.conn != nil {
 		f.lost(errors.New("no answer in time"))
 		return
 	}
+	f.connect()
+}
+
+func (f *feed) connect() {
+	f.timer.Stop()
 	within := feedDial
 	if len(f.addrs) > 1 {
 		within = feedDialMany
@@ -178,6 +187,10 @@
 		f.failing = false
 		slog.Info("bulletin.back", "at", f.last, "addr", f.addr.String())
 	}
+	for _, fault := range news.Faults {
+		f.unreadable++
+		slog.Error("bulletin.item_unreadable", "err", fault)
+	}
 	if f.publish != nil && len(news.Items) > 0 {
 		f.publish(news) // first: the others need not wait for this core
 	}
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -247,7 +247,7 @@
 func newWorld(t *testing.T, hosts ...string) *world { return newWorldWith(t, settings, hosts...) }
 
 func newWorldWith(t *testing.T, settings string, hosts ...string) *world {
-	w := &world{t: t, ended: make(chan error, 1), polls: make(chan string, 64), news: make(chan string, 8)}
+	w := &world{t: t, polls: make(chan string, 64), news: make(chan string, 8)}
 	stop := make(chan struct{})
 	bulletin := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.polls <- r.URL.Query().Get("after")
@@ -261,10 +261,24 @@
 		}
 	}))
 	t.Cleanup(func() { close(stop); bulletin.Close() })
+	w.start(settings, bulletin.Listener.Addr().String(), 1024, hosts...)
+	w.poll("1")
+	return w
+}
+
+// start starts the director of a world, with these hosts on the list of its start; without any, there is no such list.
+func (w *world) start(settings, bulletin string, sockets int, hosts ...string) {
+	w.t.Helper()
+	t := w.t
+	known := `{"no":0,"items":[]}`
+	if len(hosts) > 0 {
+		known = `{"no":1,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[` + strings.Join(hosts, ",") + `]}}]}`
+	}
+	w.ended = make(chan error, 1)
 	text, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": bulletin.Listener.Addr().String(),
-		"limits":   map[string]any{"memory_mb": 192, "sockets": 1024},
-		"known":    json.RawMessage(`{"no":1,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[` + strings.Join(hosts, ",") + `]}}]}`),
+		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": bulletin,
+		"limits":   map[string]any{"memory_mb": 192, "sockets": sockets},
+		"known":    json.RawMessage(known),
 		"settings": json.RawMessage(settings),
 	})
 	check(t, err)
@@ -277,8 +291,6 @@
 		w.p.Post(w.p.loop.Stop)
 		<-w.ended
 	})
-	w.poll("1")
-	return w
 }
 
 func (w *world) poll(after string) {
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -214,5 +214,5 @@
 
 // PrintCounts logs what was taken in, sent and answered.
 func (p *Program) PrintCounts() {
-	slog.Info("counts", "front", p.front.Counts, "director", p.director.Counts)
+	slog.Info("counts", "front", p.front.Counts, "director", p.director.Counts, "bulletin_unreadable", p.feed.unreadable)
 }
--- a/internal/protocol/bulletin/bulletin.go
+++ b/internal/protocol/bulletin/bulletin.go
@@ -24,6 +24,7 @@
 	Turns json.RawMessage `json:"turns,omitempty"` // a grant, for the one that called alone
 	// Signals are what all directors together see of boxes, for those who tell what they see.
 	Signals json.RawMessage `json:"signals,omitempty"`
+	Faults  []error         `json:"-"` // events that can't be read; they are not among Items
 }
 
 // Item is one event: a change to the list, or a purge.
@@ -105,12 +106,30 @@
 // AnnounceHeader carries an Announcement as JSON.
 const AnnounceHeader = "Stairvane-Director"
 
-// Decode reads a feed.
+// Decode reads a feed. An event that can't be read is a fault by itself: what comes after it is not held up by it.
 func Decode(b []byte) (Feed, error) {
 	var f Feed
-	if err := json.Unmarshal(b, &f); err != nil {
+	err := json.Unmarshal(b, &f)
+	if err == nil {
+		return f, nil
+	}
+	var loose struct {
+		Feed
+		Items []json.RawMessage `json:"items"`
+	}
+	if json.Unmarshal(b, &loose) != nil {
 		return Feed{}, fmt.Errorf("bulletin: %w", err)
 	}
+	f = loose.Feed
+	f.Items = nil
+	for _, raw := range loose.Items {
+		var item Item
+		if err := json.Unmarshal(raw, &item); err != nil {
+			f.Faults = append(f.Faults, fmt.Errorf("event %d: %w", item.Number, err))
+			continue
+		}
+		f.Items = append(f.Items, item)
+	}
 	return f, nil
 }
 
