--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -18,8 +18,7 @@
 const (
 	clientStreams = 32      // requests open on one connection
 	clientQueue   = 4 << 20 // bytes that a client may leave untaken before further requests of its are refused
-	// More than the answers to all that can be open then, and refusals: it only sends and never reads.
-	clientQueueMost = 4 * clientQueue
+	clientShed    = 1024    // of them in a row after which it is closed: it only sends and never reads
 )
 
 // client is one connection of a client.
@@ -31,6 +30,7 @@
 	ended bool                       // nothing more is taken from it
 
 	endedAt time.Duration // when we closed it, if we did
+	shed    int           // see clientShed
 }
 
 // Opened implements transport.Handler.
@@ -153,14 +153,16 @@
 		return fmt.Errorf("sequence number %d is open already", call.Seq)
 	}
 	// It is read on although it takes no answers, or neither its end nor what it takes back would be seen.
-	if queued := c.conn.Queued(); queued > clientQueueMost {
-		c.dropStuck()
-		return nil
-	} else if queued > clientQueue {
+	if c.conn.Queued() > clientQueue {
 		c.front.Counts.Shed++
+		if c.shed++; c.shed > clientShed {
+			c.dropStuck()
+			return nil
+		}
 		c.conn.Write(thrift.AppendRefused(nil, call.Seq))
 		return nil
 	}
+	c.shed = 0
 	// One too many is no reason to lose the others with the connection; nor are more bodies than memory has room for.
 	if len(c.open) >= clientStreams || c.front.bodies+len(call.Body) > c.front.bodyMax {
 		c.front.Counts.Unserved++
--- a/router_test.go
+++ b/router_test.go
@@ -1291,3 +1291,23 @@
 		}
 	}
 }
+
+// Classes and tenants may call their objects alike: none joins what another has open, and each keeps its own time.
+func TestClassesAndTenantsDoNotJoinEachOther(t *testing.T) {
+	s := site()
+	s.Joins = false // followers are held, so that joining shows
+	s.Classes = append(s.Classes, Class{Name: "clips", Aim: 400 * ms, Deadline: 4 * time.Second, Worth: 1, Effect: Safe})
+	b := start(t, s)
+	ask := func(id, class, tenant string) int {
+		return len(of[Obtain](b.on(Query{Request: RequestID(id), Object: 7, Class: class, Tenant: tenant, SizeKB: 100, TimeLeft: 4 * time.Second})))
+	}
+	if ask("a", "clip", "x") != 1 || ask("b", "clip", "x") != 0 {
+		t.Fatal("the second of one class and tenant is not held")
+	}
+	if ask("c", "clips", "x") != 1 {
+		t.Error("a class waits for another's attempt")
+	}
+	if ask("d", "clip", "y") != 1 {
+		t.Error("a tenant waits for another's attempt")
+	}
+}
