--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -121,6 +121,10 @@
 // Run serves until Stop.
 func (l *Loop) Run() error {
 	defer l.release()
+	return l.serve()
+}
+
+func (l *Loop) serve() error {
 	events := make([]unix.EpollEvent, eventBatch)
 	for !l.stopped {
 		l.refresh()
