--- a/internal/program/crossings_test.go
+++ b/internal/program/crossings_test.go
@@ -662,3 +662,23 @@
 	client.want(2, 0, body)
 	client.ends()
 }
+
+// A client that does not close after we did is cut off after a while; its descriptor is not held for good.
+func TestAClosedClientLingersNotForGood(t *testing.T) {
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	client, _ := w.warm(c)
+	w.on(func() {
+		for f := range w.p.front.clients {
+			f.end()
+		}
+	})
+	client.ends()
+	left := 1
+	for until := time.Now().Add(4 * lingerFor); left > 0 && time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		w.on(func() { left = len(w.p.front.clients) + len(w.p.front.ending) })
+	}
+	if left > 0 {
+		t.Error("it is still there")
+	}
+}
