Call cancels, keepalives and the discovery watch by the field's names

Need: undo, pong time-out and feed hid standard concepts. Measured: tests of routing, program and cmd/stairvane pass.

--- a/internal/program/caches.go
+++ b/internal/program/caches.go
@@ -58,8 +58,8 @@
 // Close implements routing.Link.
 func (l *cacheLink) Close() { l.conn.Close() }
 
-// Undo implements routing.Link.
-func (l *cacheLink) Undo(id string) { l.order("undo", id) }
+// Cancel implements routing.Link.
+func (l *cacheLink) Cancel(id string) { l.order("undo", id) }
 
 // Ping implements routing.Link.
 func (l *cacheLink) Ping(tag string) { l.order("ping", tag) }
--- a/internal/program/cores.go
+++ b/internal/program/cores.go
@@ -148,12 +148,12 @@
 
 // catchUp takes in the news that are there. It costs one load if there are none.
 func (c *core) catchUp(p *Program) {
-	if !c.cursor.Behind() || p.feed == nil {
+	if !c.cursor.Behind() || p.discovery == nil {
 		return
 	}
 	for f, ok := c.cursor.Next(); ok; f, ok = c.cursor.Next() {
 		p.director.Told(f.at)
-		p.feed.take(f.Feed)
+		p.discovery.take(f.Feed)
 		p.director.Told(0)
 	}
 }
--- a/internal/program/feed.go
+++ b/internal/program/discovery.go
@@ -17,23 +17,23 @@
 
 const (
 	// What the bulletin holds counts as told 7 s later at the latest, so a silent one must be noticed well before.
-	feedPatience = 2 * time.Second
-	feedSilence  = feedPatience + time.Second
-	feedDial     = time.Second
-	feedRetryMin = 20 * time.Millisecond
-	feedRetryMax = 500 * time.Millisecond
+	watchPatience = 2 * time.Second
+	watchSilence  = watchPatience + time.Second
+	watchDial     = time.Second
+	watchRetryMin = 20 * time.Millisecond
+	watchRetryMax = 500 * time.Millisecond
 	// The bulletin's connections break for all directors at once; each further one widens the time over which they return.
-	feedSpread = 2500 * time.Microsecond
+	watchSpread = 2500 * time.Microsecond
 	// Where the bulletin is told at several addresses, one that is silent is left for another so soon that a purge is still
 	// known in time.
-	feedPatienceMany = 100 * time.Millisecond
-	feedSilenceMany  = 2 * feedPatienceMany
-	feedDialMany     = 200 * time.Millisecond
-	feedRetryMany    = 40 * time.Millisecond // at most: while copies choose a leader all turn their followers away, for half a second
+	watchPatienceMany = 100 * time.Millisecond
+	watchSilenceMany  = 2 * watchPatienceMany
+	watchDialMany     = 200 * time.Millisecond
+	watchRetryMany    = 40 * time.Millisecond // at most: while copies choose a leader all turn their followers away, for half a second
 )
 
-// feed follows the bulletin by long polls, one at a time.
-type feed struct {
+// discovery watches the bulletin by long polls, one at a time.
+type discovery struct {
 	loop     *transport.Loop
 	director *routing.Director
 	addr     netip.AddrPort
@@ -56,8 +56,8 @@
 	unreadable int // events that were passed over
 }
 
-func newFeed(loop *transport.Loop, d *routing.Director, addrs []netip.AddrPort, crowd int, seed uint64) *feed {
-	f := &feed{loop: loop, director: d, addr: addrs[0], addrs: addrs, retry: feedRetryMin, crowd: max(1, crowd),
+func newDiscovery(loop *transport.Loop, d *routing.Director, addrs []netip.AddrPort, crowd int, seed uint64) *discovery {
+	f := &discovery{loop: loop, director: d, addr: addrs[0], addrs: addrs, retry: watchRetryMin, crowd: max(1, crowd),
 		rng: rand.New(rand.NewPCG(seed, 1))}
 	f.timer.Fire = f.overdue
 	return f
@@ -65,7 +65,7 @@
 
 // overdue is the timer's: it ends a call without an answer, or a pause between two connections. Which of the two is known by
 // whether there is a connection, so it runs for nothing else; while one comes up, that has a time-out of its own.
-func (f *feed) overdue() {
+func (f *discovery) overdue() {
 	if f.conn != nil {
 		f.lost(errors.New("no answer in time"))
 		return
@@ -73,11 +73,11 @@
 	f.connect()
 }
 
-func (f *feed) connect() {
+func (f *discovery) connect() {
 	f.timer.Stop()
-	within := feedDial
+	within := watchDial
 	if len(f.addrs) > 1 {
-		within = feedDialMany
+		within = watchDialMany
 	}
 	conn, err := f.loop.Dial(f.addr, within, f)
 	if err != nil {
@@ -89,12 +89,12 @@
 
 // move follows the bulletin at another address, from the last event on. The old one tells nothing more, though it may
 // keep its connection open for a while.
-func (f *feed) move(addr netip.AddrPort) {
+func (f *discovery) move(addr netip.AddrPort) {
 	if addr == f.addrs[0] {
 		return
 	}
 	slog.Info("bulletin.moves", "from", f.addr.String(), "to", addr.String(), "after", f.last)
-	f.addrs[0], f.at, f.addr, f.retry = addr, 0, addr, feedRetryMin
+	f.addrs[0], f.at, f.addr, f.retry = addr, 0, addr, watchRetryMin
 	if f.conn != nil {
 		f.conn.Close()
 		f.conn = nil
@@ -102,7 +102,7 @@
 	f.connect()
 }
 
-func (f *feed) lost(err error) {
+func (f *discovery) lost(err error) {
 	if f.conn != nil {
 		f.conn.Close()
 		f.conn = nil
@@ -115,9 +115,9 @@
 	f.at = (f.at + 1) % len(f.addrs)
 	f.addr = f.addrs[f.at]
 	if f.at == 0 { // all have been tried
-		most := feedRetryMax
+		most := watchRetryMax
 		if len(f.addrs) > 1 {
-			most = feedRetryMany
+			most = watchRetryMany
 		}
 		f.retry = min(2*f.retry, most)
 	}
@@ -125,32 +125,32 @@
 
 // pause is how long to wait before the next connection: half the usual time and a random part of as much again, wider
 // the more directors there are, for they all lost theirs at the same moment.
-func (f *feed) pause() time.Duration {
-	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+time.Duration(f.crowd-1)*feedSpread))
+func (f *discovery) pause() time.Duration {
+	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+time.Duration(f.crowd-1)*watchSpread))
 }
 
 // Opened implements transport.Handler.
-func (f *feed) Opened() { f.poll() }
+func (f *discovery) Opened() { f.poll() }
 
 // Flushed implements transport.Handler.
-func (f *feed) Flushed() {}
+func (f *discovery) Flushed() {}
 
 // Closed implements transport.Handler.
-func (f *feed) Closed(err error) {
+func (f *discovery) Closed(err error) {
 	f.conn = nil
 	f.lost(err)
 }
 
-func (f *feed) poll() {
-	patience, silence := feedPatience, feedSilence
+func (f *discovery) poll() {
+	patience, silence := watchPatience, watchSilence
 	if len(f.addrs) > 1 || f.roll != nil {
-		patience, silence = feedPatienceMany, feedSilenceMany
+		patience, silence = watchPatienceMany, watchSilenceMany
 	}
 	var announce []byte
 	if f.roll != nil {
 		announce = f.roll.announcement()
 		f.called, f.saying = bootTime(), f.roll.leaving
-		if patience = feedPatienceMany; f.saying {
+		if patience = watchPatienceMany; f.saying {
 			patience = 0
 		}
 	}
@@ -160,7 +160,7 @@
 }
 
 // Data implements transport.Handler.
-func (f *feed) Data(b []byte) (used, need int, err error) {
+func (f *discovery) Data(b []byte) (used, need int, err error) {
 	r, used, need, err := bulletin.ParseResponse(b)
 	if err != nil || used == 0 {
 		return 0, need, err
@@ -172,7 +172,7 @@
 	if err != nil {
 		return used, 0, err
 	}
-	f.retry = feedRetryMin
+	f.retry = watchRetryMin
 	if f.roll != nil {
 		f.roll.heard(f.called)
 		if len(news.Turns) > 0 {
@@ -206,7 +206,7 @@
 }
 
 // say calls anew, so that what the director says of itself is heard at once.
-func (f *feed) say() {
+func (f *discovery) say() {
 	if f.conn != nil {
 		f.conn.Close()
 		f.conn = nil
@@ -215,7 +215,7 @@
 }
 
 // take carries news over to the director, each event once.
-func (f *feed) take(news bulletin.Feed) {
+func (f *discovery) take(news bulletin.Feed) {
 	for _, item := range news.Items {
 		if item.Roll != nil && f.roll != nil && (item.Roll.Whole || item.Number > f.last) {
 			f.roll.news(item.Number, item.Roll)
@@ -239,7 +239,7 @@
 	"in_service": stairvane.Ready, "terminating": stairvane.Draining, "terminated": stairvane.Gone,
 }
 
-func (f *feed) roster(r *bulletin.Roster) {
+func (f *discovery) roster(r *bulletin.Roster) {
 	members := make([]routing.Member, 0, len(r.Hosts))
 	for _, h := range r.Hosts {
 		state, known := states[h.Health]
@@ -258,7 +258,7 @@
 	f.director.UpdateHosts(r.Sequence, r.Whole, members)
 }
 
-func (f *feed) recall(r *bulletin.Recall) {
+func (f *discovery) recall(r *bulletin.Recall) {
 	issued := fromUnixMS(r.IssuedMS)
 	if r.Item != "" {
 		object, err := strconv.ParseUint(r.Item, 16, 64)
--- a/internal/program/feed_test.go
+++ b/internal/program/discovery_test.go
@@ -20,7 +20,7 @@
 	perSlot := map[time.Duration]int{}
 	var pauses []time.Duration
 	for i := range crowd {
-		f := newFeed(loop, nil, make([]netip.AddrPort, 1), crowd, uint64(i))
+		f := newDiscovery(loop, nil, make([]netip.AddrPort, 1), crowd, uint64(i))
 		p := f.pause()
 		perSlot[p/slot]++
 		pauses = append(pauses, p)
@@ -33,7 +33,7 @@
 	if last := slices.Max(pauses); last > 500*time.Millisecond {
 		t.Errorf("the last one waits %v; news count as told 2 s after a break", last)
 	}
-	if alone := newFeed(loop, nil, make([]netip.AddrPort, 1), 0, 1).pause(); alone > 2*feedRetryMin {
+	if alone := newDiscovery(loop, nil, make([]netip.AddrPort, 1), 0, 1).pause(); alone > 2*watchRetryMin {
 		t.Errorf("a single one waits %v", alone)
 	}
 }
--- a/internal/program/roll.go
+++ b/internal/program/roll.go
@@ -190,9 +190,9 @@
 	if shut := old > r.most; shut != r.shut {
 		r.shut = shut
 		if shut {
-			slog.Error("straggler.shut", "news_ms", old.Milliseconds(), "most_ms", r.most.Milliseconds(), "after", r.prog.feed.last)
+			slog.Error("straggler.shut", "news_ms", old.Milliseconds(), "most_ms", r.most.Milliseconds(), "after", r.prog.discovery.last)
 		} else {
-			slog.Info("straggler.back", "after", r.prog.feed.last)
+			slog.Info("straggler.back", "after", r.prog.discovery.last)
 		}
 	}
 	return r.shut
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -18,10 +18,10 @@
 	lastBytes   = 500 * time.Millisecond // for clients to read their last answers and close
 	leavePoll   = 5 * time.Millisecond
 	// A link that hangs is given up after both together, sooner than most answers are overdue.
-	probeAfter  = 50 * time.Millisecond
-	pongTimeout = 100 * time.Millisecond // far more than a working cache takes
-	settle      = 5 * time.Millisecond   // more than a working cache takes to notice a close
-	silentAfter = time.Second            // longer than a transfer usually takes; being wrong costs one more connection
+	keepaliveAfter   = 50 * time.Millisecond
+	keepaliveTimeout = 100 * time.Millisecond // far more than a working cache takes
+	settle           = 5 * time.Millisecond   // more than a working cache takes to notice a close
+	silentAfter      = time.Second            // longer than a transfer usually takes; being wrong costs one more connection
 
 	defaultStreams = 32
 	defaultIdle    = 15 * time.Second
@@ -35,16 +35,16 @@
 
 // Program is one director process.
 type Program struct {
-	loop     *transport.Loop
-	director *routing.Director
-	front    *front
-	feed     *feed
-	config   config.Config // of the start
-	leave    transport.Timer
-	emptyAt  time.Duration
-	leftBy   time.Duration
-	core     *core   // nil where it is the only one
-	roll     *onRoll // nil: it is on no roll
+	loop      *transport.Loop
+	director  *routing.Director
+	front     *front
+	discovery *discovery
+	config    config.Config // of the start
+	leave     transport.Timer
+	emptyAt   time.Duration
+	leftBy    time.Duration
+	core      *core   // nil where it is the only one
+	roll      *onRoll // nil: it is on no roll
 }
 
 // New builds a director: it listens when New returns and serves in Run.
@@ -58,7 +58,7 @@
 	s := c.Settings
 	limits := routing.Limits{
 		MaxOpen: s.MaxOpen, Streams: c.Pools.Streams, SilentAfter: silentAfter, DialTimeout: s.DialTimeout,
-		ProbeAfter: probeAfter, PongTimeout: pongTimeout, Settle: settle, MaxAttempts: s.MaxAttempts,
+		KeepaliveAfter: keepaliveAfter, KeepaliveTimeout: keepaliveTimeout, Settle: settle, MaxAttempts: s.MaxAttempts,
 		DrainGrace: s.DrainGrace, PurgeGrace: s.PurgeGrace, PurgeDone: s.PurgeDone, SecondCopies: s.SecondCopies,
 	}
 	for _, class := range s.Classes {
@@ -98,12 +98,12 @@
 	if own != nil { // the bulletin is followed once for all cores
 		crowd /= len(own.group.cores)
 	}
-	p.feed = newFeed(loop, d, append([]netip.AddrPort{c.Bulletin}, c.Bulletins...), crowd, c.Seed)
+	p.discovery = newDiscovery(loop, d, append([]netip.AddrPort{c.Bulletin}, c.Bulletins...), crowd, c.Seed)
 	if own != nil {
-		p.feed.publish = own.publish
+		p.discovery.publish = own.publish
 	}
-	p.feed.roll = p.roll
-	p.feed.take(c.Known)
+	p.discovery.roll = p.roll
+	p.discovery.take(c.Known)
 	if p.front, err = newFront(loop, d, c.Listen, clients, idle, c.MemoryMB<<20); err != nil {
 		return nil, err
 	}
@@ -112,7 +112,7 @@
 		p.front.well = func() bool { return !p.roll.behind() }
 	}
 	if own == nil || own.index == 0 {
-		p.feed.connect()
+		p.discovery.connect()
 	}
 	if own != nil {
 		own.start(p)
@@ -154,7 +154,7 @@
 	for _, key := range p.config.Differs(c) {
 		slog.Warn("reload.key_waits", "key", key)
 	}
-	p.feed.move(c.Bulletin)
+	p.discovery.move(c.Bulletin)
 	slog.Info("reload.done")
 }
 
@@ -197,10 +197,10 @@
 	}
 	if !p.roll.leaving {
 		p.roll.leave()
-		p.feed.say()
+		p.discovery.say()
 		p.leftBy = now + sayWithin
 	}
-	return p.feed.said || now >= p.leftBy
+	return p.discovery.said || now >= p.leftBy
 }
 
 func (f *front) flushed() bool {
@@ -214,5 +214,5 @@
 
 // PrintCounts logs what was taken in, sent and answered.
 func (p *Program) PrintCounts() {
-	slog.Info("counts", "front", p.front.Counts, "director", p.director.Counts, "bulletin_unreadable", p.feed.unreadable)
+	slog.Info("counts", "front", p.front.Counts, "director", p.director.Counts, "bulletin_unreadable", p.discovery.unreadable)
 }
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -154,7 +154,7 @@
 			since := time.Now()
 			p.write(text)
 			b.watch(1)
-			if took := time.Since(since); took > feedSilence-time.Second/2 {
+			if took := time.Since(since); took > watchSilence-time.Second/2 {
 				t.Errorf("it was left after %v", took)
 			}
 			w.serves(c)
@@ -173,8 +173,8 @@
 	p.called(5)
 	w.serves(other)
 	w.on(func() {
-		if w.p.feed.unreadable != 2 {
-			t.Errorf("%d events were passed over", w.p.feed.unreadable)
+		if w.p.discovery.unreadable != 2 {
+			t.Errorf("%d events were passed over", w.p.discovery.unreadable)
 		}
 	})
 }
@@ -189,7 +189,7 @@
 	whole := response(2, change(2, c.host("s-1", "terminated")))
 	p.write(whole)
 	arrived(t, p.conn)
-	release(func() { w.p.feed.move(netip.MustParseAddrPort(b.addr())) })
+	release(func() { w.p.discovery.move(netip.MustParseAddrPort(b.addr())) })
 	b.watch(1)
 	w.serves(c)
 }
@@ -218,7 +218,7 @@
 	check(t, err)
 	defer loop.Release()
 	b := newBoard(t)
-	f := newFeed(loop, nil, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, 1, 1)
+	f := newDiscovery(loop, nil, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, 1, 1)
 	f.retry = time.Second
 	f.lost(net.ErrClosed)
 	if !f.timer.Active() {
--- a/internal/routing/guards_test.go
+++ b/internal/routing/guards_test.go
@@ -34,10 +34,10 @@
 	w.orders = append(w.orders, *o)
 	w.stuck = w.stuck || w.jams
 }
-func (w *wire) Undo(id string)  { w.undone = append(w.undone, id) }
-func (w *wire) Ping(tag string) { w.pinged = append(w.pinged, tag) }
-func (w *wire) Drained() bool   { return !w.stuck }
-func (w *wire) Close()          { w.closed = true }
+func (w *wire) Cancel(id string) { w.undone = append(w.undone, id) }
+func (w *wire) Ping(tag string)  { w.pinged = append(w.pinged, tag) }
+func (w *wire) Drained() bool    { return !w.stuck }
+func (w *wire) Close()           { w.closed = true }
 
 // caller notes the final answers.
 type caller struct{ got []string }
@@ -218,7 +218,7 @@
 
 // A link that hangs is found out by a ping, not by its attempts' time-outs: they go on in time, as reset.
 func TestHangingLinkIsProbedAndClosed(t *testing.T) {
-	d, s, c := scripted(t, func(l *Limits) { l.ProbeAfter, l.PongTimeout = time.Millisecond, 4*time.Millisecond }, "a")
+	d, s, c := scripted(t, func(l *Limits) { l.KeepaliveAfter, l.KeepaliveTimeout = time.Millisecond, 4*time.Millisecond }, "a")
 	d.Submit(ask(c, "r1"))
 	old := s.links[0]
 	old.ev.Up()
--- a/internal/routing/hosts.go
+++ b/internal/routing/hosts.go
@@ -329,10 +329,10 @@
 	if len(l.open) == 0 {
 		return
 	}
-	if len(l.pings) == 0 && now-l.heard >= d.limits.ProbeAfter {
+	if len(l.pings) == 0 && now-l.heard >= d.limits.KeepaliveAfter {
 		l.ping(nil)
 	}
-	d.loop.Set(&l.check, max(l.heard, now)+d.limits.ProbeAfter)
+	d.loop.Set(&l.check, max(l.heard, now)+d.limits.KeepaliveAfter)
 }
 
 // ping has an attempt, if there is one, wait until the other end has read what was sent before. A link that does not
@@ -347,7 +347,7 @@
 	}
 	l.conn.Ping(tag)
 	if !l.pong.Active() {
-		d.loop.Set(&l.pong, d.loop.Now()+d.limits.PongTimeout)
+		d.loop.Set(&l.pong, d.loop.Now()+d.limits.KeepaliveTimeout)
 	}
 }
 
@@ -362,7 +362,7 @@
 	delete(l.pings, string(tag))
 	if len(l.pings) > 0 {
 		d := l.host.director
-		d.loop.Set(&l.pong, d.loop.Now()+d.limits.PongTimeout)
+		d.loop.Set(&l.pong, d.loop.Now()+d.limits.KeepaliveTimeout)
 	}
 	if a != nil {
 		l.host.director.cleared(a)
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// cleared tells that one of the undone forerunners of an attempt is known to be given up.
+// cleared tells that one of the cancelled forerunners of an attempt is known to be given up.
 func (d *Director) cleared(a *attempt) {
 	a.uncleared--
 	if a.uncleared == 0 && !a.ended {
@@ -269,9 +269,9 @@
 	if l.quiet == 0 {
 		l.quiet = now
 	}
-	if !l.check.Active() && d.limits.ProbeAfter > 0 {
+	if !l.check.Active() && d.limits.KeepaliveAfter > 0 {
 		l.heard = now
-		d.loop.Set(&l.check, now+d.limits.ProbeAfter)
+		d.loop.Set(&l.check, now+d.limits.KeepaliveAfter)
 	}
 	l.conn.Send(&o)
 	if a.whole = l.conn.Drained(); !a.whole {
@@ -322,7 +322,7 @@
 	switch {
 	case a.ended:
 	case a.link != nil:
-		d.undo(a)
+		d.cancel(a)
 		d.Counts.TimedOut++
 		status := stairvane.TimedOut
 		if !a.whole {
@@ -345,16 +345,16 @@
 	}
 	a := q.attempts[o.Attempt]
 	if a.link != nil {
-		d.undo(a)
+		d.cancel(a)
 	}
 	d.end(a, &Reply{Status: stairvane.Cancelled})
 }
 
-// undo tells the cache that an attempt is given up. It must be written before the request's next attempt is sent; a
+// cancel tells the cache that an attempt is given up. It must be written before the request's next attempt is sent; a
 // link that does not take it now is closed, which gives up everything on it.
-func (d *Director) undo(a *attempt) {
+func (d *Director) cancel(a *attempt) {
 	l := a.link
-	d.Counts.Undone++
+	d.Counts.Cancelled++
 	delete(l.open, a.req.ID)
 	l.idleSince = d.loop.Now()
 	if len(l.open) == 0 && !l.silent() {
@@ -367,7 +367,7 @@
 	// the successor never takes this link.
 	a.req.spoil(l)
 	a.req.unread = append(a.req.unread, l)
-	l.conn.Undo(a.req.ID)
+	l.conn.Cancel(a.req.ID)
 	if !l.conn.Drained() {
 		slog.Warn("link.takes_nothing", "host", l.host.Name, "attempts", len(l.open))
 		l.conn.Close()
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -63,7 +63,7 @@
 // Link is a connection to a cache.
 type Link interface {
 	Send(o *Order)
-	Undo(id string)
+	Cancel(id string)
 	Ping(tag string) // answered by Pong once the other end has read all that was sent before
 	Drained() bool   // the system has taken all that was written
 	Close()          // no event follows
@@ -92,22 +92,22 @@
 
 // Limits bound what the director holds.
 type Limits struct {
-	MaxOpen       int           // requests
-	Streams       int           // attempts on one link at a time
-	LinksPerHost  int           // at most
-	Links         int           // to all hosts together, at most; 0: no limit
-	IdleAfter     time.Duration // after which an unused link is closed
-	SilentAfter   time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
-	DialTimeout   time.Duration
-	Settle        time.Duration // how long the other end may take to notice that a link has been closed
-	ProbeAfter    time.Duration // how long a link may owe answers and send nothing before it is pinged; 0: for good
-	PongTimeout   time.Duration // how long the other end may take to answer a ping before its link counts as dead
-	MaxAttempts   int
-	DrainGrace    time.Duration
-	PurgeGrace    time.Duration
-	PurgeDone     time.Duration
-	SecondCopies  bool
-	LongestAnswer time.Duration // the longest deadline of a class
+	MaxOpen          int           // requests
+	Streams          int           // attempts on one link at a time
+	LinksPerHost     int           // at most
+	Links            int           // to all hosts together, at most; 0: no limit
+	IdleAfter        time.Duration // after which an unused link is closed
+	SilentAfter      time.Duration // how long a link may owe an answer and send nothing before nothing new goes on it
+	DialTimeout      time.Duration
+	Settle           time.Duration // how long the other end may take to notice that a link has been closed
+	KeepaliveAfter   time.Duration // how long a link may owe answers and send nothing before it is pinged; 0: for good
+	KeepaliveTimeout time.Duration // how long the other end may take to answer a ping before its link counts as dead
+	MaxAttempts      int
+	DrainGrace       time.Duration
+	PurgeGrace       time.Duration
+	PurgeDone        time.Duration
+	SecondCopies     bool
+	LongestAnswer    time.Duration // the longest deadline of a class
 
 	// Where several cores serve, nil elsewhere: Refresh takes in news that are there already, before an attempt is written;
 	// Claim and Release keep an id from being open on two cores.
@@ -127,10 +127,10 @@
 
 // Counts is what a director has taken in, sent and answered.
 type Counts struct {
-	Taken, Served, Same, Refused, Failed, Revoked        int64
-	Repeats                                              int64
-	Attempts, Undone, LateReplies, GuardStops, Withheld  int64
-	Claimed, Bound, Unclaimed, Reused, Behind            int64
-	OK, Miss, Full, Errors, Void, TimedOut, Reset, NoCon int64
-	Dials, LinksLost, LinksDead, Purges, Lists           int64
+	Taken, Served, Same, Refused, Failed, Revoked          int64
+	Repeats                                                int64
+	Attempts, Cancelled, LateReplies, GuardStops, Withheld int64
+	Claimed, Bound, Unclaimed, Reused, Behind              int64
+	OK, Miss, Full, Errors, Void, TimedOut, Reset, NoCon   int64
+	Dials, LinksLost, LinksDead, Purges, Lists             int64
 }
