--- a/router.go
+++ b/router.go
@@ -82,8 +82,7 @@
 	}
 	r.further = r.furtherMost() / 2
 	for _, c := range r.s.Classes {
-		r.patience = min(cmp.Or(r.patience, c.Deadline), c.Deadline)
-		r.longest = max(r.longest, c.Deadline)
+		r.patience, r.longest = min(cmp.Or(r.patience, c.Deadline), c.Deadline), max(r.longest, c.Deadline)
 	}
 	r.after(sweepEvery, "sweep")
 	if r.s.MustSubscribe {
@@ -143,6 +142,8 @@
 	r.open[e.Request] = q
 	c := r.settings(q)
 	q.send = r.sendTime(q)
+	// Little room is left whenever it matters: by its whole size a large request would hardly ever find any.
+	q.room = min(q.send, seconds(math.Cbrt(q.send.Seconds()*math.Pow(r.meanSend[q.class], 2))))
 	q.deadline = r.now + e.TimeLeft
 	q.aim = c.Aim + time.Duration(c.AimStretch*float64(q.send))
 	q.aimAt = min(r.now+q.aim, q.deadline)
@@ -174,7 +175,7 @@
 func (r *Router) route(q *request) {
 	e := r.table[q.key]
 	if e == nil || r.settings(q).Uncacheable || !r.usable(e.cache, q) || q.tried(e.cache) ||
-		(r.s.Joins || e.cache.answered < e.owner.sentAt) && !e.cache.link.fits(q.send) {
+		(r.s.Joins || e.cache.answered < e.owner.sentAt) && !e.cache.link.fits(q.room) {
 		r.launch(q, nil)
 		return
 	}
@@ -236,16 +237,16 @@
 	switch {
 	case r.now+q.send+seconds(r.lag+r.lagDev) > q.deadline: // its client is hasty: no fill would be in time
 		return keptHere, found < keptHere
-	case r.isCold(cache, q) && r.fills.fits(q.send) && r.fetches.fits(q.send): // looks spend its budget
+	case r.isCold(cache, q) && r.fills.fits(q.room) && r.fetches.fits(q.room): // looks spend its budget
 		return anywhere, true
 	case found < keptHere && r.fills.limit > 0:
 		return keptHere, true
 	case found < keptBehind && r.fetches.limit > 0 && slices.Contains(r.parents, source):
-		return keptBehind, r.fills.fits(q.send)
+		return keptBehind, r.fills.fits(q.room)
 	case found == keptBehind:
-		return anywhere, r.fetches.fits(q.send)
+		return anywhere, r.fetches.fits(q.room)
 	default:
-		return anywhere, r.fills.fits(q.send)
+		return anywhere, r.fills.fits(q.room)
 	}
 }
 
@@ -263,7 +264,7 @@
 	for level := 0; level < 3 && best == nil; level++ {
 		bestScore := math.Inf(-1)
 		for _, h := range r.caches {
-			if !h.listed || q.tried(h) || !r.mayRepeat(q, h) || !r.coldFits(h, q) || !h.link.fits(q.send) ||
+			if !h.listed || q.tried(h) || !r.mayRepeat(q, h) || !r.coldFits(h, q) || !h.link.fits(q.room) ||
 				level < 2 && !r.healthy(h) || level < 1 && r.crowded(h) {
 				continue
 			}
@@ -443,7 +444,7 @@
 		}
 		e := q.held
 		r.unhold(q)
-		if e.cache.link.fits(q.send) {
+		if e.cache.link.fits(q.room) {
 			r.launch(q, e)
 		} else {
 			r.giveUp(q)
@@ -513,8 +514,7 @@
 	}
 	delete(r.flying, key)
 	q := a.req
-	a.ended = true
-	a.host.out--
+	a.ended, a.host.out = true, a.host.out-1
 	if e.Report != nil {
 		a.host.load = e.Report
 		if x, told := e.Report["x1"]; told && slices.Contains(r.caches, a.host) {
--- a/state.go
+++ b/state.go
@@ -57,6 +57,7 @@
 	class    int
 	key      objectPart
 	send     time.Duration // own sending time
+	room     time.Duration // that it needs in a window
 	arrived  time.Duration
 	aim      time.Duration // its own, whatever its client's patience
 	aimAt    time.Duration
