--- a/cmd/stairvane/process_linux_test.go
+++ b/cmd/stairvane/process_linux_test.go
@@ -490,3 +490,136 @@
 		t.Error("nothing went to the cold cache")
 	}
 }
+
+// patient is a client as the protocol page has it: one request after another on a resting connection; one that crosses the close of
+// it within 50 ms is sent again, once, elsewhere.
+type patient struct {
+	addrs                   func() []string
+	served, crossed, others int
+	lost                    []string
+}
+
+const crossingTime = 50 * time.Millisecond
+
+func (p *patient) run(until time.Time, number int) {
+	var conn net.Conn
+	seq := 0
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for at := number; time.Now().Before(until); {
+		if conn == nil {
+			addrs := p.addrs()
+			var err error
+			if conn, err = net.Dial("tcp", addrs[at%len(addrs)]); err != nil {
+				at++
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			seq = 0
+		}
+		seq++
+		sent := time.Now()
+		result, err := ask(conn, seq, fmt.Sprintf("%08x%08x", number, sent.UnixNano()&0xffffffff))
+		switch {
+		case err != nil && time.Since(sent) <= crossingTime:
+			p.crossed++
+			conn.Close()
+			conn, at = nil, at+1
+		case err != nil:
+			p.lost = append(p.lost, fmt.Sprintf("after %v: %v", time.Since(sent), err))
+			conn.Close()
+			conn, at = nil, at+1
+		case result == 0:
+			p.served++
+		default:
+			p.others++
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
+// ask sends one request and reads its answer: 0 served, 1 refused, 2 failed.
+func ask(conn net.Conn, seq int, rid string) (int, error) {
+	str := func(s string) string { return string([]byte{0, 0, byte(len(s) >> 8), byte(len(s))}) + s }
+	fields := []string{"method", "clips", "rid", rid, "budget", "3000", "obj", rid, "part", "0", "group", "5", "mem", "100"}
+	text := "\x80\x01\x00\x01" + str("submit") + string([]byte{0, 0, byte(seq >> 8), byte(seq)}) + "\x0d\x00\x01\x0b\x0b\x00\x00\x00" + string(rune(len(fields)/2))
+	for _, f := range fields {
+		text += str(f)
+	}
+	text += "\x0b\x00\x02" + str("") + "\x00"
+	if _, err := io.WriteString(conn, str(text)); err != nil {
+		return 0, err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(conn, head); err != nil {
+		return 0, err
+	}
+	body := make([]byte, int(head[1])<<16|int(head[2])<<8|int(head[3]))
+	if _, err := io.ReadFull(conn, body); err != nil {
+		return 0, err
+	}
+	return int(body[4+4+len("submit")+4+2]), nil
+}
+
+// Directors are told to end one after another under load and come back on their addresses, while a cache is slow: no request is
+// lost, and what crosses a close is all that is sent again.
+func TestRestartsUnderLoadLoseNothing(t *testing.T) {
+	cache, err := standin.NewCache("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cache.Close()
+	slow, err := standin.NewCache("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	slow.Slow(300 * time.Millisecond)
+	d := newDiscovery(roster(1, true, hostLine("s-1", cache.Addr(), "in_service", 8, 0), hostLine("s-2", slow.Addr(), "in_service", 8, 0)))
+	where := serveDiscovery(t, "127.0.0.1:0", d)
+	const nodes, clients = 5, 20
+	procs, addrs := make([]*process, nodes), make([]string, nodes)
+	for i := range nodes {
+		procs[i] = launch(t, quickstart(t, where, 256), 0)
+		addrs[i] = procs[i].up()
+		for good := false; !good; {
+			if good, err = heartbeat(addrs[i]); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	until := time.Now().Add(nodes*1500*time.Millisecond + time.Second)
+	people := make([]*patient, clients)
+	var all sync.WaitGroup
+	for i := range people {
+		people[i] = &patient{addrs: func() []string { return addrs }}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			people[i].run(until, i)
+		}()
+	}
+	for i := range nodes {
+		procs[i].leaves(8 * time.Second)
+		c := quickstart(t, where, 256)
+		c["listen"] = addrs[i]
+		procs[i] = launch(t, c, 0)
+		procs[i].up()
+	}
+	all.Wait()
+	served, crossed, others := 0, 0, 0
+	for _, p := range people {
+		served, crossed, others = served+p.served, crossed+p.crossed, others+p.others
+		for _, l := range p.lost {
+			t.Errorf("lost %s", l)
+		}
+	}
+	t.Logf("%d served, %d crossed a close and were sent again, %d refused or failed", served, crossed, others)
+	if served < 500 || others > served/20 || crossed > nodes*clients {
+		t.Errorf("%d served, %d crossed, %d refused or failed", served, crossed, others)
+	}
+}
