Reuse the list of attempts that go out when a round is over

Need: the round's list and its call were made anew each round. Measured: tests of routing and program pass.

--- a/internal/routing/director.go
+++ b/internal/routing/director.go
@@ -30,6 +30,7 @@
 	outbox  []*attempt // to be sent when the round is over
 	woken   []*host    // with attempts that wait and may have a link now
 	sending bool       // sendOut is due
+	flush   func()     // sendOut
 	links   int        // to all hosts
 
 	former      map[stairvane.RequestID]*former
@@ -80,7 +81,7 @@
 	if limits.Cold != nil {
 		d.module.ShareCold(limits.Cold)
 	}
-	d.upkeep.Fire = d.tidy
+	d.upkeep.Fire, d.flush = d.tidy, d.sendOut
 	return d
 }
 
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -209,7 +209,7 @@
 func (d *Director) sendLater() {
 	if !d.sending {
 		d.sending = true
-		d.loop.Later(d.sendOut)
+		d.loop.Later(d.flush)
 	}
 }
 
@@ -218,27 +218,27 @@
 	if d.limits.Refresh != nil {
 		d.limits.Refresh()
 	}
-	for len(d.woken)+len(d.outbox) > 0 {
-		for len(d.woken) > 0 {
-			h := d.woken[0]
-			d.woken, h.awake = d.woken[1:], false
+	for next := 0; next < len(d.outbox) || len(d.woken) > 0; { // what is sent, and what is not, may bring more
+		if n := len(d.woken); n > 0 {
+			h := d.woken[n-1]
+			d.woken, h.awake = d.woken[:n-1], false
 			h.sendWaiting()
+			continue
 		}
-		outbox := d.outbox
-		d.outbox = nil
-		for _, a := range outbox {
-			if a.ended {
-				continue
-			}
-			if l := a.host.pick(a.req); l != nil {
-				d.send(a, l)
-				continue
-			}
-			a.host.waiting = append(a.host.waiting, a)
-			a.host.dialMore()
+		a := d.outbox[next]
+		next++
+		if a.ended {
+			continue
+		}
+		if l := a.host.pick(a.req); l != nil {
+			d.send(a, l)
+			continue
 		}
+		a.host.waiting = append(a.host.waiting, a)
+		a.host.dialMore()
 	}
-	d.sending = false
+	clear(d.outbox)
+	d.outbox, d.sending = d.outbox[:0], false
 }
 
 // send writes an attempt, unless what was decided does not hold any more.
