Fuzz the reading of discovery's events, with a corpus

Need: parsers touched keep a fuzz target. Change: FuzzDecode holds that each event is either read or a fault, in full number.

--- a/internal/protocol/bulletin/bulletin_test.go
+++ b/internal/protocol/bulletin/bulletin_test.go
@@ -1,6 +1,9 @@
 package bulletin
 
-import "testing"
+import (
+	"encoding/json"
+	"testing"
+)
 
 func TestResponsesInAnyPieces(t *testing.T) {
 	for _, text := range []string{
@@ -48,3 +51,28 @@
 		}
 	})
 }
+
+// Whatever one event holds, those beside it are read: as many as the text has, in their order, each either an event or a fault.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"no":3,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[]}},{"no":2,"recall":{"lot":"x"}},{"no":3}]}`))
+	f.Add([]byte(`{"no":1,"items":[7,{"no":"one"},null]}`))
+	f.Add([]byte(`{"no":1,"items":{}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := Decode(b)
+		var text struct {
+			Items []json.RawMessage `json:"items"`
+		}
+		if err != nil {
+			if len(got.Items)+len(got.Faults) > 0 {
+				t.Errorf("%v, and %d events", err, len(got.Items))
+			}
+			return
+		}
+		if err := json.Unmarshal(b, &text); err != nil {
+			t.Fatalf("read, but it is no feed: %v", err)
+		}
+		if n := len(got.Items) + len(got.Faults); n != len(text.Items) {
+			t.Errorf("%d events of %d", n, len(text.Items))
+		}
+	})
+}
