Call off no attempt that may not be repeated

Seen by reading router.go overdue for unsafe classes, and by a test: an overdue attempt was called off when its cache had answered others since, whether or not its class allowed a further one. An unsafe request, or a keyed one past its window, then failed at once although its answer might still come. Ruled out: routing's guards, which hold the repeat back and can't bring the attempt back. Change: calling off asks mayRepeat as sending does. Test: TestWhatMayNotBeRepeatedIsNotCalledOff fails without it (unsafe, and keyed after its window).

--- a/router.go
+++ b/router.go
@@ -473,7 +473,7 @@
 		return o != h && r.usable(o, q) && !q.tried(o)
 	}))
 	if again && r.s.Cancel && r.further >= 1 && r.open[q.Request] == q && len(q.attempts) < r.s.MaxAttempts &&
-		r.now+q.send < q.deadline && !r.strained(h) {
+		r.now+q.send < q.deadline && r.mayRepeat(q, h) && !r.strained(h) {
 		r.judge(a, false) // once called off it can't be late any more, and its windows would learn nothing
 		defer r.do(Abort{Request: q.Request, Attempt: a.number})
 	}
--- a/router_test.go
+++ b/router_test.go
@@ -1311,3 +1311,27 @@
 		t.Error("a tenant waits for another's attempt")
 	}
 }
+
+// An overdue attempt that may not be repeated is not called off: its answer may still come, and nothing else could be sent.
+func TestWhatMayNotBeRepeatedIsNotCalledOff(t *testing.T) {
+	for _, k := range []struct {
+		effect  Effect
+		after   time.Duration
+		callOff bool
+	}{{Safe, 2 * time.Second, true}, {Unsafe, 2 * time.Second, false}, {Keyed, 500 * ms, true}, {Keyed, 2 * time.Second, false}} {
+		s := site() // its window for repeats is 1 s
+		s.Classes[0].Effect, s.Classes[0].DedupScope = k.effect, ScopeAll
+		b := start(t, s)
+		o := b.sent(b.query("a", 7))
+		b.now += 10 * ms
+		other := b.sent(b.query("b", 7)) // at the same cache, which answers it
+		if other.Host != o.Host {
+			t.Fatal("not at the same cache")
+		}
+		b.now += k.after
+		b.answer("b", other, 0, OK, NoteFilled) // so its source sends, too: nothing is jammed
+		if got := len(of[Abort](b.on(Alarm{Token: "watch:a:0"}))) == 1; got != k.callOff {
+			t.Errorf("%s after %v: called off %t", k.effect, k.after, got)
+		}
+	}
+}
