Wait for whole rounds in the crossing tests, and for what was taken before it is crossed

Seen: TestLeavesOnceWhateverIsOpen failed once of four runs on a loaded machine, since a list could overtake the request before it; and a test of half a request passed once with its guard out, since both halves came before the round's end. Change: tests ask for a heartbeat where something must have been taken, and wait for a timer of a later round where a round must be over. As strict as before.

--- a/internal/program/crossings_test.go
+++ b/internal/program/crossings_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"stairvane.org/stairvane/internal/transport"
 )
 
 // The stories of this file have two things happen to a director in one round of its loop: it is held, its peers do what crosses,
@@ -52,6 +54,13 @@
 	}
 }
 
+// beat asks for a heartbeat and reads it: all that the client sent before has been taken by then.
+func (p *peer) beat() {
+	p.t.Helper()
+	p.write(p.call(1, "heartbeat", "\x02\x00\x01\x01"))
+	p.want(p.seq, 0, "")
+}
+
 // on runs f on the director's loop and waits for it.
 func (w *world) on(f func()) {
 	w.t.Helper()
@@ -60,6 +69,15 @@
 	<-done
 }
 
+// round waits until a round of the loop that began later than this is over. What on does may still be within one.
+func (w *world) round() {
+	w.t.Helper()
+	done := make(chan struct{})
+	timer := &transport.Timer{Fire: func() { close(done) }}
+	w.p.Post(func() { w.p.loop.Set(timer, w.p.loop.Now()+2*transport.Tick) })
+	<-done
+}
+
 // ends reads up to the end of a connection and gives what came before it.
 func (p *peer) ends() string {
 	p.t.Helper()
@@ -143,8 +161,8 @@
 	}
 	client.submit(ridA, objB)
 	arrived(t, client.conn)
-	w.on(func() {}) // that round, or the one before, has read it
-	w.on(func() {})
+	w.round() // that round, or the one before, has read it
+	w.round()
 	box.answer(id, "OK", "n=local", "b")
 	stays.want(1, 0, "b")
 	client.conn.Close()
@@ -173,7 +191,7 @@
 	client.write(text[:20])
 	arrived(t, client.conn)
 	release(w.lastTaking)
-	w.on(func() {})
+	w.round()
 	client.write(text[20:])
 	id, _ := box.order()
 	box.answer(id, "OK", "n=local", "whole")
@@ -209,6 +227,7 @@
 	client, box := w.warm(c)
 	w.tell(2, `"roster":{"seq":2,"whole":false,"hosts":[`+c.host("s-1", "terminated")+`,`+full.host("s-2", "in_service")+`]}`)
 	client.write(client.submitText(ridA, objA, 900*time.Millisecond)) // waits for a link that does not come up
+	client.beat()                                                     // it has been taken: what follows is told later
 	w.tell(3, `"roster":{"seq":3,"whole":false,"hosts":[`+c.host("s-1", "in_service")+`,`+full.host("s-2", "terminating")+`]}`)
 	client.write(client.submitText(ridB, objB, 900*time.Millisecond)) // out, and the cache hangs
 	if id, _ := box.order(); id != ridB {
@@ -221,7 +240,7 @@
 	for range 2 {
 		seen[client.reply().seq]++
 	}
-	if seen[2] != 1 || seen[3] != 1 {
+	if seen[2] != 1 || seen[4] != 1 {
 		t.Errorf("answers by sequence number: %v", seen)
 	}
 	select {
@@ -253,7 +272,7 @@
 	for seen := int64(0); seen == 0; {
 		w.on(func() { seen = w.p.front.Counts.Malformed })
 	}
-	w.on(func() {})                  // what was closed at once would be closed by now,
+	w.round()                        // what was closed at once would be closed by now,
 	client.write("and more of that") // and these bytes reset the connection
 	arrived(t, client.conn)
 	client.want(2, 0, body)
@@ -361,7 +380,7 @@
 			}
 			arrived(t, client.conn)
 			release(nil)
-			w.on(func() {})
+			w.round()
 			w.tell(4, `"roster":{"seq":4,"whole":false,"hosts":[`+c.host("s-1", "terminating")+`]}`)
 			w.nothing(second, ridB)
 			w.on(func() {
@@ -430,7 +449,7 @@
 			old, again := w.client(), w.client()
 			old.submit(ridA, objA)
 			box.order()
-			w.on(func() {}) // both connections have been accepted
+			again.beat() // its connection has been accepted
 			release := w.hold()
 			end := func() {
 				check(t, old.conn.(*net.TCPConn).CloseWrite())
@@ -454,9 +473,9 @@
 			}
 			box.answer(ridA, "OK", "n=local", "to the first")
 			arrived(t, box.conn)
-			w.on(func() {})
+			w.round()
 			second.answer(ridA, "OK", "n=local", "to the second")
-			again.want(1, 0, "to the second")
+			again.want(2, 0, "to the second")
 		})
 	}
 }
@@ -500,7 +519,7 @@
 	second.order()
 	box.write(twice)
 	arrived(t, box.conn)
-	w.on(func() {})
+	w.round()
 	w.on(func() {
 		if n := w.p.director.Counts.Attempts; n != 3 {
 			t.Errorf("%d attempts", n)
@@ -629,7 +648,7 @@
 	})
 	client.write(client.call(1, "heartbeat", "\x02\x00\x01\x01")) // crosses the close
 	arrived(t, client.conn)
-	w.on(func() {})
+	w.round()
 	client.want(2, 0, body)
 	client.ends()
 }
