--- a/internal/program/crossings_test.go
+++ b/internal/program/crossings_test.go
@@ -392,6 +392,30 @@
 	}
 }
 
+// fill has a client leave so many answers untaken that the front wants no more of it. So many requests of others are open.
+func (w *world) fill(client, box *peer, others int) {
+	w.t.Helper()
+	body := strings.Repeat("x", 240_000)
+	queued := 0
+	for i := 0; queued <= clientQueue; i++ { // more than the sockets hold and the front wants to
+		if i == 100 {
+			w.t.Fatalf("%d bytes are queued after %d answers", queued, i)
+		}
+		rid := fmt.Sprintf("%016x", 0xb000+i)
+		client.submit(rid, objA)
+		box.order()
+		box.answer(rid, "OK", "n=local", body)
+		for before := true; before; { // until it has been passed on
+			w.on(func() {
+				before = w.p.director.Open() > others
+				for f := range w.p.front.clients {
+					queued = max(queued, f.conn.Queued())
+				}
+			})
+		}
+	}
+}
+
 // A client that takes no answers can still take back what it asked, and its end is still seen.
 func TestAClientThatReadsNothingIsHeardAllTheSame(t *testing.T) {
 	for _, how := range []string{"end", "revoke"} {
@@ -403,25 +427,7 @@
 			// So large, and with so much time, that nothing but its client ends it while this lasts.
 			client.write(client.submitText(ridA, objA, time.Minute, "mem", "90000"))
 			box.order()
-			body := strings.Repeat("x", 240_000)
-			queued := 0
-			for i := 0; queued <= clientQueue; i++ { // more than the sockets hold and the front wants to
-				if i == 100 {
-					t.Fatalf("%d bytes are queued after %d answers", queued, i)
-				}
-				rid := fmt.Sprintf("%016x", 0xb000+i)
-				client.submit(rid, objA)
-				box.order()
-				box.answer(rid, "OK", "n=local", body)
-				for before := true; before; { // until it has been passed on
-					w.on(func() {
-						before = w.p.director.Open() > 1
-						for f := range w.p.front.clients {
-							queued = max(queued, f.conn.Queued())
-						}
-					})
-				}
-			}
+			w.fill(client, box, 1)
 			client.submit(ridC, objA) // it is refused, not read later
 			if how == "end" {
 				check(t, client.conn.(*net.TCPConn).CloseWrite())
--- a/internal/program/floods_test.go
+++ b/internal/program/floods_test.go
@@ -5,8 +5,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"stairvane.org/stairvane/internal/standin"
 )
 
 // A client sends much at once and goes without reading: others are served meanwhile, no round takes long, and nothing of it stays.
@@ -56,35 +54,31 @@
 
 // A client that only asks and never reads is closed before its answers fill the memory, refusals among them.
 func TestAClientThatOnlyAsksIsClosed(t *testing.T) {
-	c, err := standin.NewCache("127.0.0.1:0")
-	check(t, err)
-	t.Cleanup(c.Close)
-	w := newWorld(t, fmt.Sprintf(`{"host":"s-1","dial":%q,"site":"west","class":"std","health":"in_service","share":1}`, c.Addr()))
+	c := newCache(t)
+	w := newWorld(t, c.host("s-1", "in_service"))
+	_, box := w.warm(c)
 	flood := w.client()
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for i := 0; ; i++ { // all beyond 32 are refused
-			if _, err := flood.conn.Write([]byte(flood.submitText(fmt.Sprintf("%016x", 0xf0000+i), objA, 5*time.Second))); err != nil {
-				return
-			}
-		}
-	}()
-	select {
-	case <-ended:
-	case <-time.After(patience):
-		t.Fatal("it may go on for good")
+	w.fill(flood, box, 0)
+	var text strings.Builder
+	for i := range clientShed + 100 {
+		text.WriteString(flood.submitText(fmt.Sprintf("%016x", 0xf0000+i), objA, 5*time.Second))
 	}
-	client := w.client()
-	client.submit(ridA, objB)
-	if r := client.reply(); r.result != 0 {
-		t.Errorf("another client got %+v", r)
+	go func() { _, _ = flood.conn.Write([]byte(text.String())) }()
+	for stuck, until := int64(0), time.Now().Add(patience); stuck == 0; {
+		if time.Now().After(until) {
+			t.Fatal("it may go on for good")
+		}
+		w.on(func() { stuck = w.p.front.Counts.Stuck })
 	}
 	w.on(func() {
-		if w.p.front.Counts.Stuck+w.p.front.Counts.Malformed == 0 {
-			t.Errorf("%+v", w.p.front.Counts)
+		if n := w.p.front.Counts.Shed; n != clientShed+1 {
+			t.Errorf("%d requests were refused", n)
+		}
+		if n := w.p.loop.Queued(); n != 0 {
+			t.Errorf("%d bytes are queued still", n)
 		}
 	})
+	w.nothing(box, ridB)
 }
 
 // Lines and bodies without end from a cache cost its link and not more; the request goes on at another.
