Test what the module holds on the way out, and sharpen two tests

Seen when more guards were taken out: a request without a body can't leave bytes of bodies, and requests that end after 0.9 s do not show a process that leaves 1.2 s after SIGTERM. Change: the flood has bodies, the requests take 2 s; a new story has SIGTERM come while the module holds a request behind another's attempt (sound). Guards that survive alone, since a second one stands behind them: the waiting attempt's own timer (the dial has one), the ended attempt as it is placed (it is looked at again when it is sent), a second SIGTERM (it would only wait again).

--- a/internal/program/crossings_test.go
+++ b/internal/program/crossings_test.go
@@ -226,10 +226,10 @@
 	w := newWorldWith(t, strings.Replace(settings, `"DialTimeout":400`, `"DialTimeout":5000`, 1), c.host("s-1", "in_service"))
 	client, box := w.warm(c)
 	w.tell(2, `"roster":{"seq":2,"whole":false,"hosts":[`+c.host("s-1", "terminated")+`,`+full.host("s-2", "in_service")+`]}`)
-	client.write(client.submitText(ridA, objA, 900*time.Millisecond)) // waits for a link that does not come up
-	client.beat()                                                     // it has been taken: what follows is told later
+	client.write(client.submitText(ridA, objA, 2*time.Second)) // waits for a link that does not come up
+	client.beat()                                              // it has been taken: what follows is told later
 	w.tell(3, `"roster":{"seq":3,"whole":false,"hosts":[`+c.host("s-1", "in_service")+`,`+full.host("s-2", "terminating")+`]}`)
-	client.write(client.submitText(ridB, objB, 900*time.Millisecond)) // out, and the cache hangs
+	client.write(client.submitText(ridB, objB, 2*time.Second)) // out, and the cache hangs
 	if id, _ := box.order(); id != ridB {
 		t.Fatalf("order %s", id)
 	}
@@ -678,3 +678,30 @@
 		t.Error("it is still there")
 	}
 }
+
+// SIGTERM while the module holds a request behind another's attempt: both get their answers, and nothing is refused for it.
+func TestWhatTheModuleHoldsIsAnsweredOnTheWayOut(t *testing.T) {
+	c := newCache(t)
+	w := newWorldWith(t, strings.Replace(settings, `"Joins":true`, `"Joins":false`, 1), c.host("s-1", "in_service"))
+	client, box := w.warm(c)
+	client.submit(ridA, objA, "mem", "9000")
+	if id, _ := box.order(); id != ridA {
+		t.Fatalf("order %s", id)
+	}
+	client.submit(ridB, objA, "mem", "9000") // the same object: it waits for the first
+	client.beat()
+	w.on(func() {
+		if n, open := w.p.director.Counts.Attempts, w.p.director.Open(); n != 2 || open != 2 {
+			t.Errorf("%d attempts, %d open", n, open)
+		}
+		w.lastTaking()
+	})
+	box.answer(ridA, "OK", "n=local", "a")
+	client.want(2, 0, "a")
+	if id, _ := box.order(); id != ridB {
+		t.Fatalf("order %s", id)
+	}
+	box.answer(ridB, "OK", "n=local", "b")
+	client.want(3, 0, "b")
+	client.ends()
+}
--- a/internal/program/floods_test.go
+++ b/internal/program/floods_test.go
@@ -15,7 +15,7 @@
 	flood := w.client()
 	var text strings.Builder
 	for i := range 5000 {
-		text.WriteString(flood.submitText(fmt.Sprintf("%016x", 0xf0000+i), objA, 5*time.Second))
+		text.WriteString(flood.submitBody(fmt.Sprintf("%016x", 0xf0000+i), objA, 5*time.Second, "a body"))
 	}
 	go func() {
 		_, _ = flood.conn.Write([]byte(text.String()))
--- a/internal/program/peers_test.go
+++ b/internal/program/peers_test.go
@@ -176,13 +176,18 @@
 
 // submitText is a call of submit for an object; more holds further fields as name, value, which go before the usual.
 func (p *peer) submitText(rid, object string, budget time.Duration, more ...string) string {
+	return p.submitBody(rid, object, budget, "", more...)
+}
+
+// submitBody is submitText with a body.
+func (p *peer) submitBody(rid, object string, budget time.Duration, body string, more ...string) string {
 	f := append(more, "method", "clips", "rid", rid, "budget", fmt.Sprint(budget.Milliseconds()), "obj", object,
 		"part", "0", "group", "5", "mem", "100")
 	s := "\x0d\x00\x01\x0b\x0b" + be32(len(f)/2)
 	for _, word := range f {
 		s += str(word)
 	}
-	return p.call(1, "submit", s+"\x0b\x00\x02"+str(""))
+	return p.call(1, "submit", s+"\x0b\x00\x02"+str(body))
 }
 
 func (p *peer) submit(rid, object string, more ...string) {
