--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -74,8 +74,8 @@
 	c.conn.CloseAfterFlush(lingerFor)
 }
 
-// endIfUnused closes a client unless a request, or a part of one, has come by now: what the system holds already was taken, and is
-// owed its answer. It reads, so it must not be called while any connection's bytes are being handled.
+// endIfUnused closes a client unless a request has come by now: what the system holds whole was taken, and is owed its answer. A part of
+// one crosses the close, and its client sends it again. It reads, so it must not be called while any connection's bytes are handled.
 func (c *client) endIfUnused() bool {
 	c.conn.Take()
 	if c.ended || len(c.open) > 0 || c.conn.Queued() > 0 {
