Hold the sum of cold caches with 1, 4, 20 and 30 processes

Change: the test runs all four side by side, with a quarter killed and started anew and a fifth with three quarters of the demand.

--- a/cmd/stairvane/process_linux_test.go
+++ b/cmd/stairvane/process_linux_test.go
@@ -400,11 +400,19 @@
 	}
 }
 
-// A cold cache bears the sum of twenty directors, each a process of its own that knows nothing of the others. A fifth of them gets
+// A cold cache bears the sum of 1 to 30 directors, each a process of its own that knows nothing of the others. A fifth of them gets
 // most of the demand, and a quarter is killed and started anew while the cache warms up.
-func TestAColdCacheBearsTwentyProcesses(t *testing.T) {
+func TestAColdCacheBearsAllProcesses(t *testing.T) {
+	for _, nodes := range []int{1, 4, 20, 30} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			coldSum(t, nodes)
+		})
+	}
+}
+
+func coldSum(t *testing.T, nodes int) {
 	const (
-		nodes    = 20
 		warms    = 5 * time.Second
 		window   = time.Second
 		from     = 0.2
@@ -440,8 +448,15 @@
 		defer mu.Unlock()
 		procs[i], at[i] = p, addr
 	}
+	var launched sync.WaitGroup
+	director(t)
 	for i := range nodes {
-		start(i)
+		launched.Add(1)
+		go func() { defer launched.Done(); start(i) }()
+	}
+	launched.Wait()
+	if t.Failed() {
+		return
 	}
 	born := time.Now()
 	d.tell(roster(2, false, hostLine("s-1", caches[0].Addr(), "in_service", link, born.UnixMilli())))
@@ -450,9 +465,9 @@
 		load.Add(1)
 		go func() {
 			defer load.Done()
-			perSecond := 4
-			if i%5 == 0 {
-				perSecond = 60
+			perSecond := 80 / nodes
+			if i%5 == 0 { // a fifth of them has 240 a second in all, of which half are the cold cache's
+				perSecond = 240 / ((nodes + 4) / 5)
 			}
 			for until := born.Add(warms); time.Now().Before(until); {
 				mu.Lock()
@@ -462,8 +477,9 @@
 			}
 		}()
 	}
-	for i := range nodes / 4 {
-		time.Sleep(time.Until(born.Add(time.Duration(i+1) * 700 * time.Millisecond)))
+	kills := (nodes + 3) / 4
+	for i := range kills {
+		time.Sleep(time.Until(born.Add(time.Duration(i+1) * warms * 3 / 4 / time.Duration(kills))))
 		_ = procs[4*i].cmd.Process.Kill()
 		<-procs[4*i].ended
 		start(4 * i)
