Name the control plane's packages as the field does

Change: internal/board is internal/controlplane, board/copies is controlplane/replicas, board/told is controlplane/acknowledged, internal/roll is internal/membership, internal/turns is internal/quota. No behaviour changes.

--- a/cmd/stairvane-fleet/apply.go
+++ b/cmd/stairvane-fleet/apply.go
@@ -10,7 +10,7 @@
 	"github.com/vbauerster/mpb/v8"
 	"github.com/vbauerster/mpb/v8/decor"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
--- a/cmd/stairvane-fleet/audit.go
+++ b/cmd/stairvane-fleet/audit.go
@@ -8,7 +8,7 @@
 
 	"github.com/olekukonko/tablewriter"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 )
 
 type auditCmd struct {
--- a/cmd/stairvane-fleet/board.go
+++ b/cmd/stairvane-fleet/board.go
@@ -6,7 +6,7 @@
 	"os/signal"
 	"syscall"
 
-	"stairvane.org/stairvane/internal/board"
+	"stairvane.org/stairvane/internal/controlplane"
 	"stairvane.org/stairvane/internal/opfile"
 )
 
@@ -28,7 +28,7 @@
 	if !set.Board.Listen.IsValid() {
 		return fmt.Errorf("%s: (board ...) is missing", c.Config)
 	}
-	b, err := board.New(set.Board, board.Options{AcceptOlder: c.AcceptOlder, Found: c.Found, NewDisk: c.NewDisk})
+	b, err := controlplane.New(set.Board, controlplane.Options{AcceptOlder: c.AcceptOlder, Found: c.Found, NewDisk: c.NewDisk})
 	if err != nil {
 		return err
 	}
--- a/cmd/stairvane-fleet/cli.go
+++ b/cmd/stairvane-fleet/cli.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/fleet/plan"
 )
 
--- a/cmd/stairvane-fleet/cli_test.go
+++ b/cmd/stairvane-fleet/cli_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"stairvane.org/stairvane/internal/board"
+	"stairvane.org/stairvane/internal/controlplane"
 	"stairvane.org/stairvane/internal/opfile"
 )
 
@@ -58,7 +58,7 @@
 	t.Setenv("STAIRVANE_BOARD", "unix:"+path("s"))
 	fleet := put("fleet.scm", wished)
 	want(exitFailed, "board", "plan", fleet) // nobody is there
-	b, err := board.New(set.Board, board.Options{})
+	b, err := controlplane.New(set.Board, controlplane.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/stairvane-fleet/copies.go
+++ b/cmd/stairvane-fleet/copies.go
@@ -8,8 +8,8 @@
 
 	"github.com/olekukonko/tablewriter"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/copies"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/replicas"
 	"stairvane.org/stairvane/internal/opfile"
 )
 
@@ -226,7 +226,7 @@
 	if set.Board.Copies.Self == "" {
 		return errors.New(c.Config + ": the file lists no copies")
 	}
-	r, err := copies.Recover(set.Board, c.Yes)
+	r, err := replicas.Recover(set.Board, c.Yes)
 	if err != nil {
 		return err
 	}
--- a/internal/board/told/told.go
+++ b/internal/controlplane/acknowledged/told.go
@@ -1,6 +1,6 @@
-// Package told decides when every director has an event. Directors have no names here: what tells of them is that each,
-// on its one connection, asks for what comes after the last event that it has taken in. It is pure.
-package told
+// Package acknowledged tracks which events every watcher has acknowledged. Watchers have no names here: each, on its one
+// connection, acknowledges all events up to the number after which it asks. It does no I/O; time comes in as an argument.
+package acknowledged
 
 import "net/netip"
 
--- a/internal/board/told/told_test.go
+++ b/internal/controlplane/acknowledged/told_test.go
@@ -1,4 +1,4 @@
-package told
+package acknowledged
 
 import (
 	"net/netip"
--- a/internal/board/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -21,8 +21,8 @@
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
+	"stairvane.org/stairvane/internal/quota"
 	"stairvane.org/stairvane/internal/signals"
-	"stairvane.org/stairvane/internal/turns"
 )
 
 // WhoHeader carries who the caller says to be; the board keeps it beside what it knows.
@@ -115,7 +115,7 @@
 type Signs struct {
 	Directors []Sign       `json:"directors,omitempty"`
 	Complete  []int64      `json:"complete,omitempty"` // slot and epoch, in turn
-	Beats     []turns.Beat `json:"beats,omitempty"`    // what they want of what is shared
+	Beats     []quota.Beat `json:"beats,omitempty"`    // what they want of what is shared
 	Reports   []Report     `json:"reports,omitempty"`  // what they have seen of boxes
 }
 
@@ -127,7 +127,7 @@
 
 // Shares are what a copy is told for the directors that follow it.
 type Shares struct {
-	Turns    map[string]turns.Grant `json:"turns,omitempty"`
+	Turns    map[string]quota.Grant `json:"turns,omitempty"`
 	Opinions *signals.Opinions      `json:"opinions,omitempty"`
 }
 
@@ -347,7 +347,7 @@
 func (c *Client) Roll() (r Roll, err error) { return r, c.call("GET", "/v1/roll", nil, &r) }
 
 // Turns asks what is leased to whom.
-func (c *Client) Turns() (held []turns.Held, err error) {
+func (c *Client) Turns() (held []quota.Held, err error) {
 	return held, c.call("GET", "/v1/turns", nil, &held)
 }
 
--- a/internal/board/bench_test.go
+++ b/internal/controlplane/bench_test.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"bufio"
@@ -19,8 +19,8 @@
 	"testing"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/fleet"
 )
 
--- a/internal/board/board.go
+++ b/internal/controlplane/board.go
@@ -1,7 +1,7 @@
-// Package board is the service that keeps the fleet: it serves the history to directors, looks at boxes, takes plans and
+// Package controlplane is the service that keeps the fleet: it serves the history to directors, looks at boxes, takes plans and
 // carries them out. What is decided is decided in internal/fleet and in the pure packages beside this one; here are the
 // sockets, the clock and the store.
-package board
+package controlplane
 
 import (
 	"errors"
@@ -16,10 +16,10 @@
 	"syscall"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/copies"
-	"stairvane.org/stairvane/internal/board/history"
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/history"
+	"stairvane.org/stairvane/internal/controlplane/replicas"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/opfile"
 	"stairvane.org/stairvane/internal/transport"
@@ -46,7 +46,7 @@
 	write    net.Listener
 	server   *http.Server
 	observed atomic.Pointer[map[string]fleet.Observation]
-	group    *copies.Group // nil: the board is alone
+	group    *replicas.Group // nil: the board is alone
 	clock    func() int64
 	started  atomic.Bool // the loop runs, or ran
 	stopping atomic.Bool
@@ -121,8 +121,8 @@
 }
 
 // join makes the board a copy of its group.
-func (b *Board) join(opt Options) (*copies.Group, error) {
-	set := copies.Settings{Copies: b.set.Copies, Batch: b.set.Batch, Found: opt.Found, Lead: b.exec.lead, Whole: b.replaced, Told: b.feed.ownTold, Signs: b.roll.Signs, TakeSigns: b.roll.TakeSigns, Grant: b.roll.Grant, TakeShares: b.roll.TakeShares,
+func (b *Board) join(opt Options) (*replicas.Group, error) {
+	set := replicas.Settings{Copies: b.set.Copies, Batch: b.set.Batch, Found: opt.Found, Lead: b.exec.lead, Whole: b.replaced, Told: b.feed.ownTold, Signs: b.roll.Signs, TakeSigns: b.roll.TakeSigns, Grant: b.roll.Grant, TakeShares: b.roll.TakeShares,
 		Within: func() time.Duration {
 			return time.Duration(b.store.Fleet().Rules().ToldWithinMS) * time.Millisecond
 		}}
@@ -134,7 +134,7 @@
 		}
 		set.Client.Transport.(*http.Transport).TLSClientConfig, set.Scheme = c, "https"
 	}
-	return copies.New(b.store, set)
+	return replicas.New(b.store, set)
 }
 
 // replaced follows a store that was taken over whole from another copy.
--- a/internal/board/board_test.go
+++ b/internal/controlplane/board_test.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"testing"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
 	"stairvane.org/stairvane/internal/config"
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
--- a/internal/board/exec.go
+++ b/internal/controlplane/exec.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
--- a/internal/board/feed.go
+++ b/internal/controlplane/feed.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"encoding/json"
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/history"
-	"stairvane.org/stairvane/internal/board/told"
+	"stairvane.org/stairvane/internal/controlplane/acknowledged"
+	"stairvane.org/stairvane/internal/controlplane/history"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
 	"stairvane.org/stairvane/internal/transport"
@@ -34,7 +34,7 @@
 	head      []byte
 
 	mu   sync.Mutex // tracker and last are read by the executor too
-	told *told.Tracker
+	told *acknowledged.Tracker
 	last int64
 
 	watch transport.Timer // of the lease, in a group
@@ -42,7 +42,7 @@
 
 func newFeed(b *Board, log *history.Log) (f *feed, err error) {
 	f = &feed{board: b, log: log, followers: map[*followerConn]struct{}{}, last: log.Last(),
-		told: told.New(b.store.Fleet().Rules().ToldWithinMS)}
+		told: acknowledged.New(b.store.Fleet().Rules().ToldWithinMS)}
 	f.listener, err = b.loop.Listen(b.set.Listen, func() transport.Handler { return &followerConn{feed: f} },
 		func(c *transport.Conn, h transport.Handler) { f.admit(c, h.(*followerConn)) })
 	f.watch.Fire = f.look
--- a/internal/board/history/history.go
+++ b/internal/controlplane/history/history.go
@@ -1,4 +1,4 @@
-// Package history turns the board's events into what followers are sent: what they have missed, or the whole list where
+// Package history turns the event log into what watchers are sent: what they have missed, or the whole list where
 // that is no longer kept. It is pure, and encodes each event once: answers are slices of what all followers share.
 package history
 
--- a/internal/board/kill_test.go
+++ b/internal/controlplane/kill_test.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"bytes"
@@ -19,8 +19,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/gaissmai/bart"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
--- a/internal/board/observer.go
+++ b/internal/controlplane/observer.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"errors"
--- a/internal/board/copies/claims_test.go
+++ b/internal/controlplane/replicas/claims_test.go
@@ -1,4 +1,4 @@
-package copies_test
+package replicas_test
 
 import (
 	"fmt"
--- a/internal/board/copies/faults_test.go
+++ b/internal/controlplane/replicas/faults_test.go
@@ -1,4 +1,4 @@
-package copies_test
+package replicas_test
 
 import (
 	"encoding/json"
@@ -15,7 +15,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
--- a/internal/board/copies/group.go
+++ b/internal/controlplane/replicas/group.go
@@ -1,6 +1,6 @@
-// Package copies is the shell of a copy: the loop that drives internal/replica, the store that keeps what was promised,
-// and the lines to the other copies, over the write side's HTTP. What is decided is decided in internal/replica.
-package copies
+// Package replicas is the shell of one replica: the loop that drives internal/replica, the store that keeps its durable state,
+// and the connections to the other replicas, over the HTTP of the write side. Decisions are made in internal/replica.
+package replicas
 
 import (
 	"context"
@@ -19,11 +19,11 @@
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/opfile"
+	"stairvane.org/stairvane/internal/quota"
 	"stairvane.org/stairvane/internal/replica"
-	"stairvane.org/stairvane/internal/turns"
 )
 
 const (
@@ -64,7 +64,7 @@
 	Told       func() int64                  // up to which this copy's followers have all events
 	Signs      func() api.Signs              // of the directors that follow here
 	TakeSigns  func(api.Signs)               // at the leader: of those that follow elsewhere
-	Grant      func([]turns.Beat) api.Shares // at the leader, right after that was proven
+	Grant      func([]quota.Beat) api.Shares // at the leader, right after that was proven
 	TakeShares func(api.Shares)
 	Within     func() time.Duration // after which a follower that left counts as told
 }
--- a/internal/board/copies/links.go
+++ b/internal/controlplane/replicas/links.go
@@ -1,4 +1,4 @@
-package copies
+package replicas
 
 import (
 	"bytes"
@@ -16,8 +16,8 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/opfile"
 	"stairvane.org/stairvane/internal/replica"
 )
--- a/internal/board/copies/measure_test.go
+++ b/internal/controlplane/replicas/measure_test.go
@@ -1,4 +1,4 @@
-package copies_test
+package replicas_test
 
 import (
 	"fmt"
@@ -12,14 +12,14 @@
 	"testing"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
 	"stairvane.org/stairvane/internal/standin"
 	"stairvane.org/stairvane/internal/standin/rig"
 )
 
-// Measurements run by command alone: STAIRVANE_MEASURE=1 go test -run TestMeasure -v ./internal/board/copies. Every process is the
+// Measurements run by command alone: STAIRVANE_MEASURE=1 go test -run TestMeasure -v ./internal/controlplane/replicas. Every process is the
 // built program; all stores are on one disk.
 func measuring(t *testing.T) {
 	if os.Getenv("STAIRVANE_MEASURE") == "" {
--- a/internal/board/copies/processes_test.go
+++ b/internal/controlplane/replicas/processes_test.go
@@ -1,4 +1,4 @@
-package copies_test
+package replicas_test
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/standin"
 	"stairvane.org/stairvane/internal/standin/rig"
--- a/internal/board/copies/recover.go
+++ b/internal/controlplane/replicas/recover.go
@@ -1,4 +1,4 @@
-package copies
+package replicas
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 
 	pb "go.etcd.io/raft/v3/raftpb"
 
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/opfile"
 	"stairvane.org/stairvane/internal/replica"
 )
--- a/internal/board/copies/whole_test.go
+++ b/internal/controlplane/replicas/whole_test.go
@@ -1,4 +1,4 @@
-package copies
+package replicas
 
 import (
 	"io"
--- a/internal/board/roll.go
+++ b/internal/controlplane/roll.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"encoding/json"
@@ -9,19 +9,19 @@
 	"time"
 
 	"stairvane.org/stairvane/internal/audit/adoption"
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/copies"
-	"stairvane.org/stairvane/internal/board/store"
 	"stairvane.org/stairvane/internal/claims"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/replicas"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/membership"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
-	"stairvane.org/stairvane/internal/roll"
+	"stairvane.org/stairvane/internal/quota"
 	"stairvane.org/stairvane/internal/signals"
-	"stairvane.org/stairvane/internal/turns"
 )
 
 // turnsSettings are those of the directors, see internal/program.
-var turnsSettings = turns.Settings{Lease: rollLease, Drift: rollDrift, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
+var turnsSettings = quota.Settings{Lease: rollLease, Drift: rollDrift, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
 
 const (
 	rollLease  = 400 * time.Millisecond // as the directors count, see internal/program
@@ -39,13 +39,13 @@
 	ended chan struct{}
 
 	mu       sync.Mutex
-	roll     *roll.Roll
+	roll     *membership.Roll
 	here     map[string]*present // who follows here
 	complete map[int]int64       // slots that are told to be complete, with their epochs
 	leads    bool
-	granter  *turns.Granter         // while it leads
-	beats    map[string]turns.Beat  // of directors that follow here, for the leader
-	grants   map[string]turns.Grant // for them
+	granter  *quota.Granter         // while it leads
+	beats    map[string]quota.Beat  // of directors that follow here, for the leader
+	grants   map[string]quota.Grant // for them
 	believed believed
 	record   *adoption.Record // of when directors took events, while it leads
 }
@@ -64,14 +64,14 @@
 }
 
 func newKeeper(b *Board) *keeper {
-	return &keeper{board: b, stop: make(chan struct{}), ended: make(chan struct{}), here: map[string]*present{}, complete: map[int]int64{}, beats: map[string]turns.Beat{}, grants: map[string]turns.Grant{}, believed: believed{teller: signals.NewTeller()},
+	return &keeper{board: b, stop: make(chan struct{}), ended: make(chan struct{}), here: map[string]*present{}, complete: map[int]int64{}, beats: map[string]quota.Beat{}, grants: map[string]quota.Grant{}, believed: believed{teller: signals.NewTeller()},
 		// A copy that is cut off goes on answering directors until its own lease ends, and their leases count from then.
-		roll: roll.New(roll.Settings{Lease: rollLease + b.set.Copies.Lease, Drift: rollDrift, Gather: rollGather})}
+		roll: membership.New(membership.Settings{Lease: rollLease + b.set.Copies.Lease, Drift: rollDrift, Gather: rollGather})}
 }
 
 // heard takes in what a director says with its call for news.
 func (k *keeper) heard(a bulletin.Announcement, acts int64) {
-	now := copies.Now()
+	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := fleet.Director(a.Director)
@@ -84,13 +84,13 @@
 		p.said = 0
 	}
 	p.Director, p.heard, p.leaving, p.acts, p.config = d, now, a.Leaving, acts, a.Config
-	k.roll.Heard(roll.Sign{ID: d.ID(), Director: &d, Leaving: a.Leaving, At: now, Acts: acts, Config: a.Config})
+	k.roll.Heard(membership.Sign{ID: d.ID(), Director: &d, Leaving: a.Leaving, At: now, Acts: acts, Config: a.Config})
 	if k.record != nil {
 		k.record.Heard(d.ID(), acts, now)
 	}
 	k.completed(a.Complete)
 	k.evidence(a, now)
-	var b turns.Beat
+	var b quota.Beat
 	if len(a.Turns) == 0 || json.Unmarshal(a.Turns, &b) != nil || b.Holder != d.ID() {
 		return
 	}
@@ -102,7 +102,7 @@
 }
 
 // granted is the grant for a director, once.
-func (k *keeper) granted(id string) *turns.Grant {
+func (k *keeper) granted(id string) *quota.Grant {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	g, is := k.grants[id]
@@ -114,14 +114,14 @@
 }
 
 // Grant answers, at the leader, what directors elsewhere want. It is called right after it was proven that this copy leads.
-func (k *keeper) Grant(beats []turns.Beat) (s api.Shares) {
-	now := copies.Now()
+func (k *keeper) Grant(beats []quota.Beat) (s api.Shares) {
+	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.granter == nil {
 		return s
 	}
-	s.Turns = map[string]turns.Grant{}
+	s.Turns = map[string]quota.Grant{}
 	for _, b := range beats {
 		s.Turns[b.Holder] = k.granter.Beat(b, now)
 	}
@@ -132,7 +132,7 @@
 
 // TakeShares takes in, at a copy, what the leader has granted to directors that follow here, and what is believed of boxes.
 func (k *keeper) TakeShares(s api.Shares) {
-	now := copies.Now()
+	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, g := range s.Turns {
@@ -144,13 +144,13 @@
 }
 
 // Held are the parts that are in force.
-func (k *keeper) Held() []turns.Held {
+func (k *keeper) Held() []quota.Held {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.granter == nil {
 		return nil
 	}
-	return k.granter.Held(copies.Now())
+	return k.granter.Held(replicas.Now())
 }
 
 func (k *keeper) completed(pairs []int64) {
@@ -163,7 +163,7 @@
 
 // Signs are what this copy tells the leader of the directors that follow here.
 func (k *keeper) Signs() api.Signs {
-	now := copies.Now()
+	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var s api.Signs
@@ -196,11 +196,11 @@
 
 // TakeSigns takes in, at the leader, what another copy tells of its directors.
 func (k *keeper) TakeSigns(s api.Signs) {
-	now := copies.Now()
+	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, d := range s.Directors {
-		k.roll.Heard(roll.Sign{ID: d.ID, Director: d.Director, Leaving: d.Leaving, At: now - time.Duration(d.AgeMS)*time.Millisecond,
+		k.roll.Heard(membership.Sign{ID: d.ID, Director: d.Director, Leaving: d.Leaving, At: now - time.Duration(d.AgeMS)*time.Millisecond,
 			Acts: d.Acts, Config: d.Config})
 		if k.record != nil {
 			k.record.Heard(d.ID, d.Acts, now-time.Duration(d.AgeMS)*time.Millisecond)
@@ -217,7 +217,7 @@
 
 // Roll is who is on the roll, as this board knows if it leads.
 func (k *keeper) Roll() api.Roll {
-	f, now := k.board.store.Fleet(), copies.Now()
+	f, now := k.board.store.Fleet(), replicas.Now()
 	out := api.Roll{Revision: f.Revision}
 	holds := map[string]int{}
 	for i := range fleet.Slots {
@@ -253,7 +253,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.record != nil {
-		k.record.Told(last, copies.Now())
+		k.record.Told(last, replicas.Now())
 	}
 }
 
@@ -264,7 +264,7 @@
 	if k.record == nil {
 		return adoption.Event{}, store.ErrNotLeading
 	}
-	e, from, to, is := k.record.Event(no, copies.Now())
+	e, from, to, is := k.record.Event(no, replicas.Now())
 	if !is {
 		return e, fmt.Errorf("event %d is not recorded: this board has led since event %d, and the history is at %d", no, from-1, to)
 	}
@@ -289,13 +289,13 @@
 
 // look writes what has changed of the roll, if this board leads.
 func (k *keeper) look() error {
-	leads, now := k.board.Leads(), copies.Now()
+	leads, now := k.board.Leads(), replicas.Now()
 	f := k.board.store.Fleet()
 	k.mu.Lock()
 	if leads && !k.leads {
 		k.roll.Begin(f, now)
 		// What the one before it has granted, within its own lease and for one more, is over by then.
-		k.granter = turns.NewGranter(turnsSettings, k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
+		k.granter = quota.NewGranter(turnsSettings, k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
 		k.believed.merger = signals.NewMerger(signals.Usual, k.board.term())
 		k.record = adoption.New(adoptionKept, f.Revision)
 	} else if !leads {
@@ -343,7 +343,7 @@
 	}
 	if c != nil {
 		k.mu.Lock()
-		k.roll.Told(copies.Now())
+		k.roll.Told(replicas.Now())
 		k.mu.Unlock()
 		slog.Info("roll.changed", "joined", len(c.Joined), "gone", c.Gone)
 	}
--- a/internal/board/signals.go
+++ b/internal/controlplane/signals.go
@@ -1,11 +1,11 @@
-package board
+package controlplane
 
 import (
 	"encoding/json"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/copies"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/replicas"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
 	"stairvane.org/stairvane/internal/signals"
 )
@@ -45,7 +45,7 @@
 
 // opinions are what a director that gives evidence is to be told now; nil if nothing is new.
 func (k *keeper) opinions(id string) *signals.Opinions {
-	now := copies.Now()
+	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	b := &k.believed
@@ -65,5 +65,5 @@
 	if k.believed.merger == nil {
 		return nil
 	}
-	return k.believed.merger.Boxes(copies.Now())
+	return k.believed.merger.Boxes(replicas.Now())
 }
--- a/internal/board/tls_test.go
+++ b/internal/controlplane/tls_test.go
@@ -1,4 +1,4 @@
-package board
+package controlplane
 
 import (
 	"crypto/ecdsa"
@@ -17,8 +17,8 @@
 	"testing"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
-	"stairvane.org/stairvane/internal/board/store"
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/store"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/opfile"
 )
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"stairvane.org/stairvane/internal/fleet"
-	"stairvane.org/stairvane/internal/roll"
-	"stairvane.org/stairvane/internal/turns"
+	"stairvane.org/stairvane/internal/membership"
+	"stairvane.org/stairvane/internal/quota"
 )
 
 // Config is a run. Zero values stand for what is in brackets.
@@ -101,11 +101,11 @@
 )
 
 // Turns are the settings of the model; those of the real ones.
-var Turns = turns.Settings{Lease: 400 * time.Millisecond, Drift: 0.02, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
+var Turns = quota.Settings{Lease: 400 * time.Millisecond, Drift: 0.02, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
 
 type director struct {
 	id     string
-	holder *turns.Holder
+	holder *quota.Holder
 	demand []float64 // by box
 	rate   float64   // of its clock
 	next   time.Duration
@@ -115,8 +115,8 @@
 
 type flight struct {
 	to    *director
-	beat  *turns.Beat
-	grant *turns.Grant
+	beat  *quota.Beat
+	grant *quota.Grant
 	at    time.Duration
 }
 
@@ -126,9 +126,9 @@
 	now     time.Duration
 	all     []*director
 	net     []flight
-	granter *turns.Granter
+	granter *quota.Granter
 	epoch   int64
-	roll    *roll.Roll
+	roll    *membership.Roll
 	fleet   fleet.Fleet
 	limits  []string
 	res     Result
@@ -142,8 +142,8 @@
 	}
 	cfg.fill()
 	m := &model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 17)), epoch: 1, poor: -1}
-	m.granter = turns.NewGranter(Turns, 1, 0, true)
-	m.roll = roll.New(roll.Settings{Lease: 600 * time.Millisecond, Drift: 0.02, Gather: 150 * time.Millisecond})
+	m.granter = quota.NewGranter(Turns, 1, 0, true)
+	m.roll = membership.New(membership.Settings{Lease: 600 * time.Millisecond, Drift: 0.02, Gather: 150 * time.Millisecond})
 	for i := range cfg.Boxes {
 		m.limits = append(m.limits, fmt.Sprintf("cold:box-%d", i))
 	}
@@ -174,7 +174,7 @@
 	}
 	for i := range n {
 		d := &director{id: fmt.Sprintf("d%d/1", len(m.all)), alive: true, rate: 1 + (2*m.rng.Float64()-1)*m.cfg.Drift, next: m.now + time.Duration(m.rng.Int64N(int64(beat)))}
-		d.holder = turns.NewHolder(d.id, Turns)
+		d.holder = quota.NewHolder(d.id, Turns)
 		for range m.limits {
 			d.demand = append(d.demand, m.cfg.Load*weights[i]/sum*float64(n)/float64(m.cfg.Directors))
 		}
@@ -204,7 +204,7 @@
 	}
 	if m.at(m.cfg.Regrant) {
 		m.epoch++
-		m.granter = turns.NewGranter(Turns, m.epoch, m.now, false)
+		m.granter = quota.NewGranter(Turns, m.epoch, m.now, false)
 		m.roll.Begin(m.fleet, m.now)
 	}
 }
@@ -220,7 +220,7 @@
 		}
 		d.next = m.now + beat
 		for i, l := range m.limits {
-			d.holder.Want(turns.Want{Limit: l, Kind: turns.Rate, Demand: d.demand[i]})
+			d.holder.Want(quota.Want{Limit: l, Kind: quota.Rate, Demand: d.demand[i]})
 		}
 		b := d.holder.Beat(m.clock(d))
 		if m.now < d.cut || m.rng.Float64() < m.cfg.Loss {
@@ -252,7 +252,7 @@
 		case !f.to.alive:
 		case f.beat != nil:
 			d := fleet.Director{Name: f.to.id[:len(f.to.id)-2], Incarnation: "1"}
-			m.roll.Heard(roll.Sign{ID: f.to.id, Director: &d, At: m.now})
+			m.roll.Heard(membership.Sign{ID: f.to.id, Director: &d, At: m.now})
 			g := m.granter.Beat(*f.beat, m.now)
 			if m.rng.Float64() >= m.cfg.Loss {
 				m.count(g)
--- a/internal/roll/roll.go
+++ b/internal/membership/roll.go
@@ -1,7 +1,7 @@
-// Package roll decides which directors are on the roll: who has joined, who is gone, and when that is told, gathered, so that
+// Package membership decides which directors are on the roll: who has joined, who is gone, and when that is told, gathered, so that
 // a restart of the whole fleet is a few events and not thousands. It is pure: what was heard of directors and the time come
 // in. It knows neither the history nor the lines.
-package roll
+package membership
 
 import (
 	"cmp"
--- a/internal/roll/roll_test.go
+++ b/internal/membership/roll_test.go
@@ -1,4 +1,4 @@
-package roll
+package membership
 
 import (
 	"fmt"
--- a/internal/program/roll.go
+++ b/internal/program/roll.go
@@ -11,15 +11,15 @@
 	"stairvane.org/stairvane"
 	"stairvane.org/stairvane/internal/config"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/quota"
 	"stairvane.org/stairvane/internal/transport"
-	"stairvane.org/stairvane/internal/turns"
 )
 
 // RollLease is for how long a director may act on the roll without news. The board counts with the same.
 const RollLease = 400 * time.Millisecond
 
 // Turns is how parts of what is shared are leased; the board's are the same.
-var Turns = turns.Settings{Lease: RollLease, Drift: 0.02, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
+var Turns = quota.Settings{Lease: RollLease, Drift: 0.02, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
 
 const partsEvery = 20 * time.Millisecond
 
@@ -47,7 +47,7 @@
 	others  map[string]string // location, by ID of all on the roll
 	told    stairvane.Fellows // to the decision module
 	fewer   transport.Timer
-	turns   *turns.Holder
+	turns   *quota.Holder
 	parts   map[string]float64 // of cold hosts' budgets, as the decision module was told them
 	look    transport.Timer
 	newest  time.Duration // when the call for news was made that was answered last
@@ -65,7 +65,7 @@
 		r.told.Here = c.Settings.DispatchersByZone[i]
 	}
 	r.most = c.Roll.BehindMost
-	r.turns, r.parts = turns.NewHolder(r.own.ID(), Turns), map[string]float64{}
+	r.turns, r.parts = quota.NewHolder(r.own.ID(), Turns), map[string]float64{}
 	r.look.Fire = r.tellParts
 	p.loop.Set(&r.look, p.loop.Now()+partsEvery)
 	if c.Roll.Signals {
@@ -137,14 +137,14 @@
 	wanted := map[string]bool{}
 	r.prog.director.ColdWants(func(host string, demand float64) {
 		wanted[host] = true
-		r.turns.Want(turns.Want{Limit: coldMark + host, Kind: turns.Rate, Demand: max(demand, 0.001)})
+		r.turns.Want(quota.Want{Limit: coldMark + host, Kind: quota.Rate, Demand: max(demand, 0.001)})
 		if _, told := r.parts[host]; !told {
 			r.parts[host] = -1
 		}
 	})
 	for host := range r.parts {
 		if !wanted[host] { // it is warm, or gone
-			r.turns.Want(turns.Want{Limit: coldMark + host})
+			r.turns.Want(quota.Want{Limit: coldMark + host})
 			r.prog.director.Part(host, -1)
 			delete(r.parts, host)
 		}
@@ -153,7 +153,7 @@
 
 // granted takes in what the board has granted.
 func (r *onRoll) granted(raw json.RawMessage) {
-	var g turns.Grant
+	var g quota.Grant
 	if err := json.Unmarshal(raw, &g); err != nil {
 		slog.Warn("turns.malformed", "err", err)
 		return
--- a/internal/turns/explore_test.go
+++ b/internal/quota/explore_test.go
@@ -1,4 +1,4 @@
-package turns
+package quota
 
 import (
 	"fmt"
--- a/internal/turns/share.go
+++ b/internal/quota/share.go
@@ -1,8 +1,8 @@
-// Package turns divides limits that directors share: leased parts of a rate, and turns that only so many may have at a time.
+// Package quota divides limits that directors share: leased parts of a rate, and turns that only so many may have at a time.
 // The granter is the board's leader; holders are directors. A part counts for its holder from before it was asked for, and for
 // the granter until after it was given, with a bound on how far clocks run apart, so that the sum of what is in force keeps
 // the limit at each moment without agreeing clocks. The package is pure: beats, grants and the time come in.
-package turns
+package quota
 
 import (
 	"cmp"
--- a/internal/standin/rig/boards.go
+++ b/internal/standin/rig/boards.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"stairvane.org/stairvane/internal/board/api"
+	"stairvane.org/stairvane/internal/controlplane/api"
 )
 
 const startWithin = 30 * time.Second
