--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -37,7 +37,7 @@
 )
 
 // listenWrite opens the write side: a Unix socket, or TCP, which is beyond loopback only with TLS and client certificates.
-func (b *Board) listenWrite() (err error) {
+func (b *Server) listenWrite() (err error) {
 	set := b.set.Write
 	switch {
 	case set.Unix != "":
@@ -64,9 +64,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/world", b.current(b.getWorld))
-	mux.HandleFunc("GET /v1/roll", b.current(func(w http.ResponseWriter, _ *http.Request) { reply(w, b.roll.Roll()) }))
-	mux.HandleFunc("GET /v1/turns", b.current(func(w http.ResponseWriter, _ *http.Request) { reply(w, b.roll.Held()) }))
-	mux.HandleFunc("GET /v1/signals", b.current(func(w http.ResponseWriter, _ *http.Request) { reply(w, b.roll.Signals()) }))
+	mux.HandleFunc("GET /v1/roll", b.current(func(w http.ResponseWriter, _ *http.Request) { reply(w, b.membership.Members()) }))
+	mux.HandleFunc("GET /v1/turns", b.current(func(w http.ResponseWriter, _ *http.Request) { reply(w, b.membership.Held()) }))
+	mux.HandleFunc("GET /v1/signals", b.current(func(w http.ResponseWriter, _ *http.Request) { reply(w, b.membership.Signals()) }))
 	mux.HandleFunc("GET /v1/adoption", b.current(b.getAdoption))
 	mux.HandleFunc("GET /v1/history", b.current(b.getHistory))
 	mux.HandleFunc("GET /v1/applies", b.current(b.getApplies))
@@ -104,7 +104,7 @@
 
 // current has a reader answer with what was accepted up to now. In a group only the leader knows, and must prove that it
 // leads; ?local=1 asks any copy for what it has.
-func (b *Board) current(next http.HandlerFunc) http.HandlerFunc {
+func (b *Server) current(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if b.group != nil && r.URL.Query().Get("local") == "" {
 			ctx, cancel := context.WithTimeout(r.Context(), barrierWithin)
@@ -118,15 +118,15 @@
 	}
 }
 
-func (b *Board) getCopies(w http.ResponseWriter, _ *http.Request) { reply(w, b.group.Status()) }
+func (b *Server) getCopies(w http.ResponseWriter, _ *http.Request) { reply(w, b.group.Status()) }
 
-func (b *Board) getAdoption(w http.ResponseWriter, r *http.Request) {
+func (b *Server) getAdoption(w http.ResponseWriter, r *http.Request) {
 	no, err := strconv.ParseInt(r.URL.Query().Get("event"), 10, 64)
 	if err != nil || no < 1 {
 		fail(w, http.StatusBadRequest, api.Error{Kind: api.BadRequest, Message: "event: a number from 1 on is wanted"})
 		return
 	}
-	e, err := b.roll.Adoption(no)
+	e, err := b.membership.Adoption(no)
 	switch {
 	case errors.Is(err, store.ErrNotLeading):
 		b.failWith(w, err)
@@ -137,7 +137,7 @@
 	}
 }
 
-func (b *Board) postCopies(w http.ResponseWriter, r *http.Request) {
+func (b *Server) postCopies(w http.ResponseWriter, r *http.Request) {
 	var o api.CopiesOrder
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBody))
 	dec.DisallowUnknownFields()
@@ -160,7 +160,7 @@
 
 // guard turns away who may not call, and finds out who calls: the user behind a Unix socket, the name in a client's
 // certificate, or else the address. What a caller says of itself is kept beside that, marked as said.
-func (b *Board) guard(next http.Handler) http.Handler {
+func (b *Server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		who, err := b.identify(r)
 		if err != nil {
@@ -175,7 +175,7 @@
 	})
 }
 
-func (b *Board) identify(r *http.Request) (string, error) {
+func (b *Server) identify(r *http.Request) (string, error) {
 	conn, _ := r.Context().Value(connKey{}).(net.Conn)
 	if u, ok := conn.(*net.UnixConn); ok {
 		return unixPeer(u)
@@ -186,7 +186,7 @@
 	return r.RemoteAddr, b.allowedWriter(r.RemoteAddr)
 }
 
-func (b *Board) allowedWriter(remote string) error {
+func (b *Server) allowedWriter(remote string) error {
 	addr, err := netip.ParseAddrPort(remote)
 	if err != nil {
 		return err
@@ -237,7 +237,7 @@
 }
 
 // failWith answers with what an error says of itself.
-func (b *Board) failWith(w http.ResponseWriter, err error) {
+func (b *Server) failWith(w http.ResponseWriter, err error) {
 	e := api.Error{Kind: api.Failed, Message: err.Error()}
 	status := http.StatusInternalServerError
 	var refusal *apply.Refusal
@@ -273,9 +273,9 @@
 	fail(w, status, e)
 }
 
-func (b *Board) getWorld(w http.ResponseWriter, _ *http.Request) {
+func (b *Server) getWorld(w http.ResponseWriter, _ *http.Request) {
 	world := b.World()
-	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.feed.count(), ToldUpTo: b.feed.toldUpTo()}
+	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.watches.count(), ToldUpTo: b.watches.acknowledgedRevision()}
 	err := b.store.View(func(v *store.View) (err error) {
 		out.Holder, err = v.Holder()
 		return err
@@ -287,7 +287,7 @@
 	reply(w, out)
 }
 
-func (b *Board) getHistory(w http.ResponseWriter, r *http.Request) {
+func (b *Server) getHistory(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil || after < 0 {
 		after = 0
@@ -304,7 +304,7 @@
 	reply(w, out)
 }
 
-func (b *Board) getApplies(w http.ResponseWriter, _ *http.Request) {
+func (b *Server) getApplies(w http.ResponseWriter, _ *http.Request) {
 	var out []apply.Record
 	err := b.store.View(func(v *store.View) (err error) {
 		out, err = v.Records()
@@ -316,7 +316,7 @@
 	}
 	for i := range out { // the states of steps are kept apart; a record's count is that of its last change
 		if !out[i].Status.Ended() {
-			if now, _, _, err := b.exec.look(out[i].ID); err == nil {
+			if now, _, _, err := b.executor.look(out[i].ID); err == nil {
 				out[i] = now
 			}
 		}
@@ -337,8 +337,8 @@
 	return id
 }
 
-func (b *Board) getApply(w http.ResponseWriter, r *http.Request) {
-	record, p, steps, err := b.exec.look(applyID(r))
+func (b *Server) getApply(w http.ResponseWriter, r *http.Request) {
+	record, p, steps, err := b.executor.look(applyID(r))
 	if err != nil {
 		b.failWith(w, err)
 		return
@@ -350,7 +350,7 @@
 	reply(w, out)
 }
 
-func (b *Board) getBefore(w http.ResponseWriter, r *http.Request) {
+func (b *Server) getBefore(w http.ResponseWriter, r *http.Request) {
 	var out fleet.Wish
 	err := b.store.View(func(v *store.View) error {
 		found, err := v.Record(applyID(r))
@@ -370,7 +370,7 @@
 	reply(w, out)
 }
 
-func (b *Board) postApply(w http.ResponseWriter, r *http.Request) {
+func (b *Server) postApply(w http.ResponseWriter, r *http.Request) {
 	file, err := io.ReadAll(http.MaxBytesReader(w, r.Body, plan.MaxBytes))
 	if err != nil {
 		fail(w, http.StatusBadRequest, api.Error{Kind: api.Damaged, Message: "the plan did not come whole: " + err.Error()})
@@ -381,7 +381,7 @@
 		b.failWith(w, err)
 		return
 	}
-	record, already, err := b.exec.submit(p, who(r), writeOf(r, file))
+	record, already, err := b.executor.submit(p, who(r), writeOf(r, file))
 	if err != nil {
 		b.failWith(w, err)
 		return
@@ -389,13 +389,13 @@
 	reply(w, api.Accepted{Record: record, Already: already})
 }
 
-func (b *Board) postOrder(w http.ResponseWriter, r *http.Request) {
+func (b *Server) postOrder(w http.ResponseWriter, r *http.Request) {
 	o := apply.Order(r.PathValue("order"))
 	if o != apply.OrderPause && o != apply.OrderResume && o != apply.OrderCancel {
 		fail(w, http.StatusNotFound, api.Error{Kind: api.NotFound, Message: fmt.Sprintf("no order is called %q", o)})
 		return
 	}
-	record, err := b.exec.obey(applyID(r), o, who(r), writeOf(r, []byte(r.URL.Path)))
+	record, err := b.executor.obey(applyID(r), o, who(r), writeOf(r, []byte(r.URL.Path)))
 	if err != nil {
 		b.failWith(w, err)
 		return
@@ -403,7 +403,7 @@
 	reply(w, record)
 }
 
-func (b *Board) postPurge(w http.ResponseWriter, r *http.Request) {
+func (b *Server) postPurge(w http.ResponseWriter, r *http.Request) {
 	var p fleet.Purge
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSmallBody))
 	if err != nil {
--- a/internal/controlplane/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -111,12 +111,12 @@
 	IssuedMS int64 `json:"issued_ms"`
 }
 
-// Signs are what a copy tells the leader of the directors that follow it.
-type Signs struct {
-	Directors []Sign       `json:"directors,omitempty"`
-	Complete  []int64      `json:"complete,omitempty"` // slot and epoch, in turn
-	Beats     []quota.Beat `json:"beats,omitempty"`    // what they want of what is shared
-	Reports   []Report     `json:"reports,omitempty"`  // what they have seen of boxes
+// Heartbeats are what a copy tells the leader of the directors that follow it.
+type Heartbeats struct {
+	Directors []Heartbeat     `json:"directors,omitempty"`
+	Complete  []int64         `json:"complete,omitempty"` // slot and epoch, in turn
+	Beats     []quota.Renewal `json:"beats,omitempty"`    // what they want of what is shared
+	Reports   []Report        `json:"reports,omitempty"`  // what they have seen of boxes
 }
 
 // Report is what a director has seen of boxes, and where it is.
@@ -125,14 +125,14 @@
 	signals.Place
 }
 
-// Shares are what a copy is told for the directors that follow it.
-type Shares struct {
+// LeaseAnswer are what a copy is told for the directors that follow it.
+type LeaseAnswer struct {
 	Turns    map[string]quota.Grant `json:"turns,omitempty"`
 	Opinions *signals.Opinions      `json:"opinions,omitempty"`
 }
 
-// Sign is that a director was there. Director is what it says of itself, where it is told again.
-type Sign struct {
+// Heartbeat is that a director was there. Director is what it says of itself, where it is told again.
+type Heartbeat struct {
 	ID       string          `json:"id"`
 	AgeMS    int64           `json:"age_ms"`
 	Leaving  bool            `json:"leaving,omitempty"`
--- a/internal/controlplane/exec.go
+++ b/internal/controlplane/exec.go
@@ -21,7 +21,7 @@
 
 // executor is the shell of apply.Machine: it makes each decision durable in one transaction, then tells the machine.
 type executor struct {
-	board  *Board
+	board  *Server
 	wakes  chan struct{}
 	ending chan struct{}
 	ended  chan struct{}
@@ -35,7 +35,7 @@
 	tookOver int64 // the time of leading in which it has looked for an apply that is under way
 }
 
-func newExecutor(b *Board) *executor {
+func newExecutor(b *Server) *executor {
 	return &executor{board: b, wakes: make(chan struct{}, 1), ending: make(chan struct{}), ended: make(chan struct{})}
 }
 
@@ -176,7 +176,7 @@
 }
 
 func (x *executor) input() apply.Input {
-	told := x.board.feed.toldUpTo()
+	told := x.board.watches.acknowledgedRevision()
 	return apply.Input{World: x.board.World(), Told: func(no int64) bool { return no <= told }, Looks: x.board.observer.on()}
 }
 
--- a/internal/controlplane/signals.go
+++ b/internal/controlplane/health.go
@@ -12,43 +12,43 @@
 
 const mostReports = 1024 // kept for the leader: what is lost is only evidence
 
-// believed is what this copy has to do with signals: evidence that is on its way to the leader, what the leader believes, and who
+// healthReports is what this copy has to do with signals: evidence that is on its way to the leader, what the leader believes, and who
 // was told that. It is the keeper's, under its lock.
-type believed struct {
+type healthReports struct {
 	reports []api.Report
 	merger  *signals.Merger // while it leads
 	teller  *signals.Teller
 }
 
 // spread answers the directors at once that wait here and share in what is seen of boxes, if that has changed.
-func (k *keeper) spread(o signals.Opinions, now time.Duration) {
-	if k.believed.teller.Take(o, now) {
-		k.board.loop.Post(k.board.feed.tellOpinions)
+func (k *membershipService) spread(o signals.Opinions, now time.Duration) {
+	if k.health.teller.Take(o, now) {
+		k.board.loop.Post(k.board.watches.tellOpinions)
 	}
 }
 
 // evidence takes in what a director has seen.
-func (k *keeper) evidence(a bulletin.Announcement, now time.Duration) {
+func (k *membershipService) evidence(a bulletin.Announcement, now time.Duration) {
 	var r signals.Report
 	if len(a.Signals) == 0 || json.Unmarshal(a.Signals, &r) != nil || r.Holder != a.ID() {
 		return
 	}
 	at := signals.Place{Machine: a.Machine, Location: a.Location}
 	switch {
-	case k.believed.merger != nil:
-		k.believed.merger.Take(r, at, now)
-		k.spread(k.believed.merger.Opinions(now), now)
-	case len(k.believed.reports) < mostReports:
-		k.believed.reports = append(k.believed.reports, api.Report{Report: r, Place: at})
+	case k.health.merger != nil:
+		k.health.merger.Take(r, at, now)
+		k.spread(k.health.merger.Opinions(now), now)
+	case len(k.health.reports) < mostReports:
+		k.health.reports = append(k.health.reports, api.Report{Report: r, Place: at})
 	}
 }
 
 // opinions are what a director that gives evidence is to be told now; nil if nothing is new.
-func (k *keeper) opinions(id string) *signals.Opinions {
+func (k *membershipService) opinions(id string) *signals.Opinions {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b := &k.believed
+	b := &k.health
 	if b.merger != nil {
 		_ = b.teller.Take(b.merger.Opinions(now), now)
 	}
@@ -59,11 +59,11 @@
 }
 
 // Signals lists what is known of all boxes, where this board leads.
-func (k *keeper) Signals() []signals.Box {
+func (k *membershipService) Signals() []signals.Box {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.believed.merger == nil {
+	if k.health.merger == nil {
 		return nil
 	}
-	return k.believed.merger.Boxes(replicas.Now())
+	return k.health.merger.Boxes(replicas.Now())
 }
--- a/internal/controlplane/kill_test.go
+++ b/internal/controlplane/kill_test.go
@@ -58,7 +58,7 @@
 			select {}
 		}
 	}}
-	var b *Board
+	var b *Server
 	if mode == "apply" {
 		set.SnapshotEvery, set.Keep = 3, 2
 		// The time is that of the history, so that histories can be compared byte for byte.
@@ -94,7 +94,7 @@
 }
 
 // childApplies has two plans carried out, each unless it was before.
-func childApplies(b *Board, folder string) error {
+func childApplies(b *Server, folder string) error {
 	c, err := api.NewClient("unix:"+filepath.Join(folder, "s"), "", api.Credentials{})
 	if err != nil {
 		return err
--- a/internal/controlplane/roll.go
+++ b/internal/controlplane/membership.go
@@ -31,22 +31,22 @@
 	rollSaid   = 2 * time.Second // after which a copy says again what a director is, and not only that it is there
 )
 
-// keeper is the shell of roll.Roll: it takes in what directors say of themselves, here and at the other copies, and has the
+// membershipService is the shell of membership.Tracker: it takes in what directors say of themselves, here and at the other replicas, and has the
 // changes of the roll and of who holds which claims written, where this board leads.
-type keeper struct {
-	board *Board
+type membershipService struct {
+	board *Server
 	stop  chan struct{}
 	ended chan struct{}
 
 	mu       sync.Mutex
-	roll     *membership.Roll
+	roll     *membership.Tracker
 	here     map[string]*present // who follows here
 	complete map[int]int64       // slots that are told to be complete, with their epochs
 	leads    bool
-	granter  *quota.Granter         // while it leads
-	beats    map[string]quota.Beat  // of directors that follow here, for the leader
-	grants   map[string]quota.Grant // for them
-	believed believed
+	granter  *quota.Allocator         // while it leads
+	beats    map[string]quota.Renewal // of directors that follow here, for the leader
+	grants   map[string]quota.Grant   // for them
+	health   healthReports
 	record   *adoption.Record // of when directors took events, while it leads
 }
 
@@ -63,14 +63,14 @@
 	leaving bool
 }
 
-func newKeeper(b *Board) *keeper {
-	return &keeper{board: b, stop: make(chan struct{}), ended: make(chan struct{}), here: map[string]*present{}, complete: map[int]int64{}, beats: map[string]quota.Beat{}, grants: map[string]quota.Grant{}, believed: believed{teller: signals.NewTeller()},
+func newMembershipService(b *Server) *membershipService {
+	return &membershipService{board: b, stop: make(chan struct{}), ended: make(chan struct{}), here: map[string]*present{}, complete: map[int]int64{}, beats: map[string]quota.Renewal{}, grants: map[string]quota.Grant{}, health: healthReports{teller: signals.NewTeller()},
 		// A copy that is cut off goes on answering directors until its own lease ends, and their leases count from then.
 		roll: membership.New(membership.Settings{Lease: rollLease + b.set.Copies.Lease, Drift: rollDrift, Gather: rollGather})}
 }
 
 // heard takes in what a director says with its call for news.
-func (k *keeper) heard(a bulletin.Announcement, acts int64) {
+func (k *membershipService) heard(a bulletin.Announcement, acts int64) {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -84,25 +84,25 @@
 		p.said = 0
 	}
 	p.Director, p.heard, p.leaving, p.acts, p.config = d, now, a.Leaving, acts, a.Config
-	k.roll.Heard(membership.Sign{ID: d.ID(), Director: &d, Leaving: a.Leaving, At: now, Acts: acts, Config: a.Config})
+	k.roll.Heard(membership.Heartbeat{ID: d.ID(), Director: &d, Leaving: a.Leaving, At: now, Applied: acts, Config: a.Config})
 	if k.record != nil {
 		k.record.Heard(d.ID(), acts, now)
 	}
 	k.completed(a.Complete)
 	k.evidence(a, now)
-	var b quota.Beat
+	var b quota.Renewal
 	if len(a.Turns) == 0 || json.Unmarshal(a.Turns, &b) != nil || b.Holder != d.ID() {
 		return
 	}
 	k.beats[b.Holder] = b
-	if k.granter != nil && k.board.feed.holds() { // proven to lead a moment ago; else another may have granted since
-		k.grants[b.Holder] = k.granter.Beat(b, now)
+	if k.granter != nil && k.board.watches.hasLease() { // proven to lead a moment ago; else another may have granted since
+		k.grants[b.Holder] = k.granter.Renew(b, now)
 		delete(k.beats, b.Holder)
 	}
 }
 
 // granted is the grant for a director, once.
-func (k *keeper) granted(id string) *quota.Grant {
+func (k *membershipService) granted(id string) *quota.Grant {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	g, is := k.grants[id]
@@ -114,7 +114,7 @@
 }
 
 // Grant answers, at the leader, what directors elsewhere want. It is called right after it was proven that this copy leads.
-func (k *keeper) Grant(beats []quota.Beat) (s api.Shares) {
+func (k *membershipService) Grant(beats []quota.Renewal) (s api.LeaseAnswer) {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -123,15 +123,15 @@
 	}
 	s.Turns = map[string]quota.Grant{}
 	for _, b := range beats {
-		s.Turns[b.Holder] = k.granter.Beat(b, now)
+		s.Turns[b.Holder] = k.granter.Renew(b, now)
 	}
-	o := k.believed.merger.Opinions(now)
+	o := k.health.merger.Opinions(now)
 	s.Opinions = &o
 	return s
 }
 
 // TakeShares takes in, at a copy, what the leader has granted to directors that follow here, and what is believed of boxes.
-func (k *keeper) TakeShares(s api.Shares) {
+func (k *membershipService) TakeShares(s api.LeaseAnswer) {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -144,7 +144,7 @@
 }
 
 // Held are the parts that are in force.
-func (k *keeper) Held() []quota.Held {
+func (k *membershipService) Held() []quota.Held {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.granter == nil {
@@ -153,7 +153,7 @@
 	return k.granter.Held(replicas.Now())
 }
 
-func (k *keeper) completed(pairs []int64) {
+func (k *membershipService) completed(pairs []int64) {
 	for i := 0; i+1 < len(pairs); i += 2 {
 		if slot := int(pairs[i]); slot >= 0 && slot < fleet.Slots {
 			k.complete[slot] = max(k.complete[slot], pairs[i+1])
@@ -161,19 +161,19 @@
 	}
 }
 
-// Signs are what this copy tells the leader of the directors that follow here.
-func (k *keeper) Signs() api.Signs {
+// Heartbeats are what this copy tells the leader of the directors that follow here.
+func (k *membershipService) Heartbeats() api.Heartbeats {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var s api.Signs
+	var s api.Heartbeats
 	for id, p := range k.here {
 		age := now - p.heard
 		if age > 10*rollLease {
 			delete(k.here, id)
 			continue
 		}
-		sign := api.Sign{ID: id, AgeMS: age.Milliseconds(), Leaving: p.leaving, Acts: p.acts}
+		sign := api.Heartbeat{ID: id, AgeMS: age.Milliseconds(), Leaving: p.leaving, Acts: p.acts}
 		if p.said == 0 || now-p.said > rollSaid {
 			d := p.Director
 			sign.Director, sign.Config, p.said = &d, p.config, now
@@ -184,7 +184,7 @@
 		s.Beats = append(s.Beats, b)
 		delete(k.beats, id)
 	}
-	s.Reports, k.believed.reports = k.believed.reports, nil
+	s.Reports, k.health.reports = k.health.reports, nil
 	for slot, epoch := range k.complete {
 		s.Complete = append(s.Complete, int64(slot), epoch)
 		if !k.leads {
@@ -194,29 +194,29 @@
 	return s
 }
 
-// TakeSigns takes in, at the leader, what another copy tells of its directors.
-func (k *keeper) TakeSigns(s api.Signs) {
+// TakeHeartbeats takes in, at the leader, what another copy tells of its directors.
+func (k *membershipService) TakeHeartbeats(s api.Heartbeats) {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, d := range s.Directors {
-		k.roll.Heard(membership.Sign{ID: d.ID, Director: d.Director, Leaving: d.Leaving, At: now - time.Duration(d.AgeMS)*time.Millisecond,
-			Acts: d.Acts, Config: d.Config})
+		k.roll.Heard(membership.Heartbeat{ID: d.ID, Director: d.Director, Leaving: d.Leaving, At: now - time.Duration(d.AgeMS)*time.Millisecond,
+			Applied: d.Acts, Config: d.Config})
 		if k.record != nil {
 			k.record.Heard(d.ID, d.Acts, now-time.Duration(d.AgeMS)*time.Millisecond)
 		}
 	}
-	if k.believed.merger != nil {
+	if k.health.merger != nil {
 		for _, r := range s.Reports {
-			k.believed.merger.Take(r.Report, r.Place, now)
+			k.health.merger.Take(r.Report, r.Place, now)
 		}
-		k.spread(k.believed.merger.Opinions(now), now)
+		k.spread(k.health.merger.Opinions(now), now)
 	}
 	k.completed(s.Complete)
 }
 
-// Roll is who is on the roll, as this board knows if it leads.
-func (k *keeper) Roll() api.Roll {
+// Members is who is on the roll, as this board knows if it leads.
+func (k *membershipService) Members() api.Roll {
 	f, now := k.board.store.Fleet(), replicas.Now()
 	out := api.Roll{Revision: f.Revision}
 	holds := map[string]int{}
@@ -249,7 +249,7 @@
 }
 
 // committed is told of durable events before any director is.
-func (k *keeper) committed(last int64) {
+func (k *membershipService) committed(last int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.record != nil {
@@ -258,7 +258,7 @@
 }
 
 // Adoption tells when each director took an event; the error names what is recorded.
-func (k *keeper) Adoption(no int64) (adoption.Event, error) {
+func (k *membershipService) Adoption(no int64) (adoption.Event, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.record == nil {
@@ -271,7 +271,7 @@
 	return e, nil
 }
 
-func (k *keeper) run() {
+func (k *membershipService) run() {
 	defer close(k.ended)
 	ticker := time.NewTicker(rollEvery)
 	defer ticker.Stop()
@@ -281,28 +281,28 @@
 			return
 		case <-ticker.C:
 		}
-		if err := k.look(); err != nil && !errors.Is(err, store.ErrNotLeading) && !errors.Is(err, store.ErrUnknown) {
+		if err := k.writeChanges(); err != nil && !errors.Is(err, store.ErrNotLeading) && !errors.Is(err, store.ErrUnknown) {
 			slog.Warn("roll.not_written", "err", err)
 		}
 	}
 }
 
-// look writes what has changed of the roll, if this board leads.
-func (k *keeper) look() error {
+// writeChanges writes what has changed of the roll, if this board leads.
+func (k *membershipService) writeChanges() error {
 	leads, now := k.board.Leads(), replicas.Now()
 	f := k.board.store.Fleet()
 	k.mu.Lock()
 	if leads && !k.leads {
 		k.roll.Begin(f, now)
 		// What the one before it has granted, within its own lease and for one more, is over by then.
-		k.granter = quota.NewGranter(turnsSettings, k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
-		k.believed.merger = signals.NewMerger(signals.Usual, k.board.term())
+		k.granter = quota.NewAllocator(turnsSettings, k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
+		k.health.merger = signals.NewMerger(signals.Usual, k.board.term())
 		k.record = adoption.New(adoptionKept, f.Revision)
 	} else if !leads {
-		k.granter, k.believed.merger, k.record = nil, nil, nil
+		k.granter, k.health.merger, k.record = nil, nil, nil
 	} else if k.granter != nil {
 		k.granter.Sweep(now)
-		k.believed.merger.Sweep(now)
+		k.health.merger.Sweep(now)
 		k.record.Gone(func(id string) bool { _, known := k.roll.LastHeard(id); return known }, now)
 	}
 	k.leads = leads
@@ -343,7 +343,7 @@
 	}
 	if c != nil {
 		k.mu.Lock()
-		k.roll.Told(replicas.Now())
+		k.roll.Announced(replicas.Now())
 		k.mu.Unlock()
 		slog.Info("roll.changed", "joined", len(c.Joined), "gone", c.Gone)
 	}
@@ -351,7 +351,7 @@
 }
 
 // assign is who holds the claims once a change is made.
-func (k *keeper) assign(f fleet.Fleet, c fleet.RollChange) (changes []fleet.SlotChange) {
+func (k *membershipService) assign(f fleet.Fleet, c fleet.RollChange) (changes []fleet.SlotChange) {
 	on := map[string]fleet.Director{}
 	for d := range f.Directors() {
 		on[d.ID()] = *d
--- a/internal/controlplane/observer.go
+++ b/internal/controlplane/observer.go
@@ -22,7 +22,7 @@
 // observer is the shell of observe.Watcher: it dials and pings on the board's loop. It does nothing while it is switched
 // off.
 type observer struct {
-	board   *Board
+	board   *Server
 	watcher *observe.Watcher
 	conns   map[string]*boxConn
 	tick    transport.Timer
@@ -30,7 +30,7 @@
 	buf     []byte
 }
 
-func newObserver(b *Board) *observer {
+func newObserver(b *Server) *observer {
 	o := &observer{board: b, conns: map[string]*boxConn{}}
 	if set := b.set.Observer; set.Every > 0 {
 		o.watcher = observe.New(observe.Settings{EveryMS: set.Every.Milliseconds(), TimeoutMS: set.Timeout.Milliseconds(), Misses: set.Misses})
@@ -150,7 +150,7 @@
 	}
 	if differs || len(fresh) != len(old) {
 		o.board.observed.Store(&fresh)
-		o.board.exec.wake()
+		o.board.executor.wake()
 	}
 }
 
--- a/internal/controlplane/replicas/group.go
+++ b/internal/controlplane/replicas/group.go
@@ -55,18 +55,18 @@
 // Settings of a copy.
 type Settings struct {
 	opfile.Copies
-	Batch      int
-	Found      bool                          // begin a group with this store
-	Client     *http.Client                  // for calls to other copies; nil: without TLS
-	Scheme     string                        // of their addresses; empty: http
-	Lead       func(bool)                    // told when this copy begins or ceases to lead; must not block
-	Whole      func()                        // told when the store was taken over whole; must not block
-	Told       func() int64                  // up to which this copy's followers have all events
-	Signs      func() api.Signs              // of the directors that follow here
-	TakeSigns  func(api.Signs)               // at the leader: of those that follow elsewhere
-	Grant      func([]quota.Beat) api.Shares // at the leader, right after that was proven
-	TakeShares func(api.Shares)
-	Within     func() time.Duration // after which a follower that left counts as told
+	Batch           int
+	Found           bool                                  // begin a group with this store
+	Client          *http.Client                          // for calls to other copies; nil: without TLS
+	Scheme          string                                // of their addresses; empty: http
+	Lead            func(bool)                            // told when this copy begins or ceases to lead; must not block
+	Whole           func()                                // told when the store was taken over whole; must not block
+	Acknowledged    func() int64                          // up to which this copy's followers have all events
+	Heartbeats      func() api.Heartbeats                 // of the directors that follow here
+	TakeHeartbeats  func(api.Heartbeats)                  // at the leader: of those that follow elsewhere
+	Grant           func([]quota.Renewal) api.LeaseAnswer // at the leader, right after that was proven
+	TakeLeaseAnswer func(api.LeaseAnswer)
+	Within          func() time.Duration // after which a follower that left counts as told
 }
 
 // Group is this copy's part of the group.
@@ -77,7 +77,7 @@
 	inbox  chan func()
 	stop   chan struct{}
 	ended  chan struct{}
-	links  map[string]*link // by name
+	links  map[string]*peer // by name
 	status atomic.Pointer[status]
 
 	mu      sync.Mutex // of the witness and both sides of leases
@@ -135,7 +135,7 @@
 func New(s *store.Store, set Settings) (*Group, error) {
 	lease := replica.Lease{Length: set.Lease, Drift: set.Drift}
 	g := &Group{set: set, store: s, run: random64(), inbox: make(chan func(), 1024), stop: make(chan struct{}), ended: make(chan struct{}),
-		links: map[string]*link{}, witness: replica.NewWitness(), granter: replica.NewGranter(lease), phase: Meeting, seeds: random64(),
+		links: map[string]*peer{}, witness: replica.NewWitness(), granter: replica.NewGranter(lease), phase: Meeting, seeds: random64(),
 		barriers: map[uint64][]func(error){}, heard: map[uint64]time.Duration{}, names: map[uint64]string{}, asks: map[string]uint64{}, met: map[string]bool{},
 		sending: map[uint64]bool{}, sentWhole: map[uint64]time.Duration{}, flush: time.NewTimer(time.Hour)}
 	if g.set.Scheme == "" {
@@ -143,7 +143,7 @@
 	}
 	for _, c := range set.List {
 		if c.Name != set.Self {
-			g.links[c.Name] = newLink(g, c)
+			g.links[c.Name] = newPeer(g, c)
 		}
 	}
 	if err := g.identify(); err != nil {
@@ -663,9 +663,9 @@
 	return g.holder.Holds(Now())
 }
 
-// Told is the number up to which every event was told by all copies, as this copy knows if it leads; else 0.
-func (g *Group) Told() int64 {
-	own := g.set.Told()
+// Acknowledged is the number up to which every event was told by all copies, as this copy knows if it leads; else 0.
+func (g *Group) Acknowledged() int64 {
+	own := g.set.Acknowledged()
 	within := g.set.Within()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/controlplane/replicas/links.go
+++ b/internal/controlplane/replicas/links.go
@@ -41,18 +41,18 @@
 	takenHeader = "Stairvane-Taken" // of a whole state: index and term of its message
 )
 
-// link carries messages to one other copy, in order, one call at a time.
-type link struct {
+// peer carries messages to one other copy, in order, one call at a time.
+type peer struct {
 	group *Group
 	to    opfile.Copy
 	queue chan *pb.Message
 }
 
-func newLink(g *Group, to opfile.Copy) *link {
-	return &link{group: g, to: to, queue: make(chan *pb.Message, linkQueue)}
+func newPeer(g *Group, to opfile.Copy) *peer {
+	return &peer{group: g, to: to, queue: make(chan *pb.Message, linkQueue)}
 }
 
-func (l *link) url(path string) string {
+func (l *peer) url(path string) string {
 	return l.group.set.Scheme + "://" + l.to.Address.String() + path
 }
 
@@ -84,7 +84,7 @@
 	}
 }
 
-func (l *link) run() {
+func (l *peer) run() {
 	for {
 		var m *pb.Message
 		select {
@@ -124,7 +124,7 @@
 }
 
 // deliver makes one call. What is lost is told to the driver, and so is the group's word that this copy is not wanted.
-func (l *link) deliver(body []byte, to uint64) {
+func (l *peer) deliver(body []byte, to uint64) {
 	g := l.group
 	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
 	defer cancel()
@@ -195,7 +195,7 @@
 }
 
 // sendWhole sends the store as it is to a copy that is too far behind, or new.
-func (g *Group) sendWhole(l *link, m *pb.Message) {
+func (g *Group) sendWhole(l *peer, m *pb.Message) {
 	to := m.GetTo()
 	now := Now()
 	if l == nil || g.sending[to] || now-g.sentWhole[to] < wholeEvery && g.sentWhole[to] > 0 {
@@ -248,7 +248,7 @@
 	return wholeStuck + time.Duration(size/wholeChecked)*time.Second
 }
 
-func (g *Group) stream(l *link, m *pb.Message) (length int64, err error) {
+func (g *Group) stream(l *peer, m *pb.Message) (length int64, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stuck := time.AfterFunc(wholeStuck, cancel)
@@ -309,7 +309,7 @@
 	}
 }
 
-func (g *Group) greetOne(l *link, said *string) {
+func (g *Group) greetOne(l *peer, said *string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
 	defer cancel()
 	says, ok := replica.Seen{}, true
@@ -373,11 +373,11 @@
 	}
 }
 
-// Leased is what a holder says when it asks for its lease.
-type Leased struct {
-	Told     int64     `json:"told"`
-	Revision int64     `json:"revision"`
-	Signs    api.Signs `json:"signs"`
+// LeaseRequest is what a holder says when it asks for its lease.
+type LeaseRequest struct {
+	Told     int64          `json:"told"`
+	Revision int64          `json:"revision"`
+	Signs    api.Heartbeats `json:"signs"`
 }
 
 func (g *Group) renew() error {
@@ -398,11 +398,11 @@
 		if l == nil {
 			return store.ErrNotLeading
 		}
-		var granted api.Shares
-		if err := g.ask(ctx, l.url("/v1/copies/lease"), Leased{g.set.Told(), g.store.Fleet().Revision, g.set.Signs()}, &granted); err != nil {
+		var granted api.LeaseAnswer
+		if err := g.ask(ctx, l.url("/v1/copies/lease"), LeaseRequest{g.set.Acknowledged(), g.store.Fleet().Revision, g.set.Heartbeats()}, &granted); err != nil {
 			return err
 		}
-		g.set.TakeShares(granted)
+		g.set.TakeLeaseAnswer(granted)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/controlplane/replicas/serve.go
+++ b/internal/controlplane/replicas/serve.go
@@ -323,12 +323,12 @@
 	if !ok {
 		return
 	}
-	var asks Leased
+	var asks LeaseRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmall)).Decode(&asks); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	g.set.TakeSigns(asks.Signs)
+	g.set.TakeHeartbeats(asks.Signs)
 	ctx, cancel := context.WithTimeout(r.Context(), g.set.Lease)
 	defer cancel()
 	if err := g.Barrier(ctx); err != nil {
--- a/internal/controlplane/board.go
+++ b/internal/controlplane/server.go
@@ -34,28 +34,28 @@
 	NewDisk     bool // put the store aside and begin as a new disk, which waits to be let in
 }
 
-// Board is one board process.
-type Board struct {
-	set      opfile.Board
-	store    *store.Store
-	loop     *transport.Loop
-	feed     *feed
-	observer *observer
-	exec     *executor
-	roll     *keeper
-	write    net.Listener
-	server   *http.Server
-	observed atomic.Pointer[map[string]fleet.Observation]
-	group    *replicas.Group // nil: the board is alone
-	clock    func() int64
-	started  atomic.Bool // the loop runs, or ran
-	stopping atomic.Bool
-	failed   chan error
+// Server is one board process.
+type Server struct {
+	set        opfile.Board
+	store      *store.Store
+	loop       *transport.Loop
+	watches    *watchServer
+	observer   *observer
+	executor   *executor
+	membership *membershipService
+	write      net.Listener
+	server     *http.Server
+	observed   atomic.Pointer[map[string]fleet.Observation]
+	group      *replicas.Group // nil: the board is alone
+	clock      func() int64
+	started    atomic.Bool // the loop runs, or ran
+	stopping   atomic.Bool
+	failed     chan error
 }
 
 // New opens the store and listens. Errors of the store wrap those of its package.
-func New(set opfile.Board, opt Options) (b *Board, err error) {
-	b = &Board{set: set, clock: opt.Clock, failed: make(chan error, 2)}
+func New(set opfile.Board, opt Options) (b *Server, err error) {
+	b = &Server{set: set, clock: opt.Clock, failed: make(chan error, 2)}
 	if b.clock == nil {
 		b.clock = func() int64 { return time.Now().UnixMilli() }
 	}
@@ -79,17 +79,17 @@
 	if i, _ := b.store.Identity(); i.Disk != 0 && set.Copies.Self == "" {
 		return b, fmt.Errorf("%s: %w, as copy %s, and the file lists no copies", set.Store, store.ErrNotAlone, i.Name)
 	}
-	b.roll = newKeeper(b)
+	b.membership = newMembershipService(b)
 	first, tail := b.store.Tail()
 	log, err := history.New(first, tail, b.store.Fleet(), max(set.Keep, 1000))
 	if err != nil {
 		return b, err
 	}
-	if b.feed, err = newFeed(b, log); err != nil {
+	if b.watches, err = newWatchServer(b, log); err != nil {
 		return b, err
 	}
 	b.observer = newObserver(b)
-	b.exec = newExecutor(b)
+	b.executor = newExecutor(b)
 	if set.Copies.Self != "" {
 		if b.group, err = b.join(opt); err != nil {
 			return b, err
@@ -99,7 +99,7 @@
 }
 
 // checkMode refuses options that speak of a group where there is none, and puts a store aside that is to be given up.
-func (b *Board) checkMode(opt Options) error {
+func (b *Server) checkMode(opt Options) error {
 	if b.set.Copies.Self == "" {
 		if opt.Found || opt.NewDisk {
 			return errors.New("the file lists no copies: (copies ...) is missing in (board ...)")
@@ -121,8 +121,8 @@
 }
 
 // join makes the board a copy of its group.
-func (b *Board) join(opt Options) (*replicas.Group, error) {
-	set := replicas.Settings{Copies: b.set.Copies, Batch: b.set.Batch, Found: opt.Found, Lead: b.exec.lead, Whole: b.replaced, Told: b.feed.ownTold, Signs: b.roll.Signs, TakeSigns: b.roll.TakeSigns, Grant: b.roll.Grant, TakeShares: b.roll.TakeShares,
+func (b *Server) join(opt Options) (*replicas.Group, error) {
+	set := replicas.Settings{Copies: b.set.Copies, Batch: b.set.Batch, Found: opt.Found, Lead: b.executor.lead, Whole: b.replaced, Acknowledged: b.watches.ownAcknowledged, Heartbeats: b.membership.Heartbeats, TakeHeartbeats: b.membership.TakeHeartbeats, Grant: b.membership.Grant, TakeLeaseAnswer: b.membership.TakeShares,
 		Within: func() time.Duration {
 			return time.Duration(b.store.Fleet().Rules().ToldWithinMS) * time.Millisecond
 		}}
@@ -138,7 +138,7 @@
 }
 
 // replaced follows a store that was taken over whole from another copy.
-func (b *Board) replaced() {
+func (b *Server) replaced() {
 	first, tail := b.store.Tail()
 	f := b.store.Fleet()
 	b.post(func() {
@@ -148,13 +148,13 @@
 			b.Stop()
 			return
 		}
-		b.feed.replace(log, f)
+		b.watches.replace(log, f)
 		b.observer.renew(f)
 	})
 }
 
 // term numbers the times of leading; it rises with each, at any copy.
-func (b *Board) term() int64 {
+func (b *Server) term() int64 {
 	if b.group == nil {
 		return b.clock() // a board alone: the later start has the later time
 	}
@@ -162,38 +162,38 @@
 }
 
 // Leads tells whether the board carries out changes: one that is alone does.
-func (b *Board) Leads() bool { return b.group == nil || b.group.Leads() }
+func (b *Server) Leads() bool { return b.group == nil || b.group.Leads() }
 
 // Addr is where directors follow.
-func (b *Board) Addr() (netip.AddrPort, error) { return b.feed.listener.Addr() }
+func (b *Server) Addr() (netip.AddrPort, error) { return b.watches.listener.Addr() }
 
 // WriteAddr is where changes are taken.
-func (b *Board) WriteAddr() net.Addr { return b.write.Addr() }
+func (b *Server) WriteAddr() net.Addr { return b.write.Addr() }
 
 // World is what is known at this moment.
-func (b *Board) World() fleet.World {
+func (b *Server) World() fleet.World {
 	return fleet.World{Fleet: b.store.Fleet(), Observed: *b.observed.Load(), NowMS: b.clock()}
 }
 
 // committed is told by the store of durable events.
-func (b *Board) committed(events []fleet.Event) {
+func (b *Server) committed(events []fleet.Event) {
 	f := b.store.Fleet()
-	b.roll.committed(f.Revision)
+	b.membership.committed(f.Revision)
 	b.post(func() {
-		b.feed.publish(events, f)
+		b.watches.publish(events, f)
 		b.observer.follow(events)
 	})
 }
 
 // post runs f on the loop, unless that has ended.
-func (b *Board) post(f func()) {
+func (b *Server) post(f func()) {
 	if b.started.Load() {
 		b.loop.Post(f)
 	}
 }
 
 // Run serves until Stop.
-func (b *Board) Run() error {
+func (b *Server) Run() error {
 	addr, err := b.Addr()
 	if err != nil {
 		return err
@@ -201,7 +201,7 @@
 	b.started.Store(true)
 	if b.group != nil {
 		go b.group.Run()
-	} else if err := b.exec.recover(); err != nil {
+	} else if err := b.executor.recover(); err != nil {
 		b.started.Store(false)
 		b.closeAll()
 		return err
@@ -216,14 +216,14 @@
 			b.Stop()
 		}
 	}()
-	go b.exec.run()
-	go b.roll.run()
+	go b.executor.run()
+	go b.membership.run()
 	slog.Info("board.serves", "bulletin", addr.String(), "write", b.write.Addr().String(), "revision", b.store.Fleet().Revision,
 		"observer", b.set.Observer.Every > 0)
 	err = b.loop.Run()
-	b.exec.stop()
-	close(b.roll.stop)
-	<-b.roll.ended
+	b.executor.stop()
+	close(b.membership.stop)
+	<-b.membership.ended
 	b.server.Close()
 	if b.group != nil {
 		b.group.Stop()
@@ -241,13 +241,13 @@
 }
 
 // Stop ends Run. What was begun goes on at the next start.
-func (b *Board) Stop() {
+func (b *Server) Stop() {
 	b.stopping.Store(true)
 	b.post(b.loop.Stop)
 }
 
 // closeAll gives up what New has opened.
-func (b *Board) closeAll() {
+func (b *Server) closeAll() {
 	if b.write != nil {
 		b.write.Close()
 	}
--- a/internal/controlplane/feed.go
+++ b/internal/controlplane/watch.go
@@ -17,21 +17,21 @@
 )
 
 const (
-	mostFollowers = 8192
+	maxWatchers   = 8192
 	headWithin    = 10 * time.Second // for a call to come whole, and for one to come at all
 	refusedWithin = 2 * time.Second  // for a refused caller to read why
 	stuckQueue    = 16 << 20         // bytes that a follower may leave untaken
 	leaseLook     = 10 * time.Millisecond
 )
 
-// feed serves the bulletin: one connection, one long poll, and no goroutine for any of them.
-type feed struct {
-	board     *Board
-	log       *history.Log
-	listener  *transport.Listener
-	followers map[*followerConn]struct{}
-	ids       int64
-	head      []byte
+// watchServer serves the bulletin: one connection, one long poll, and no goroutine for any of them.
+type watchServer struct {
+	board    *Server
+	log      *history.Log
+	listener *transport.Listener
+	watchers map[*watcher]struct{}
+	ids      int64
+	head     []byte
 
 	mu   sync.Mutex // tracker and last are read by the executor too
 	told *acknowledged.Tracker
@@ -40,35 +40,35 @@
 	watch transport.Timer // of the lease, in a group
 }
 
-func newFeed(b *Board, log *history.Log) (f *feed, err error) {
-	f = &feed{board: b, log: log, followers: map[*followerConn]struct{}{}, last: log.Last(),
+func newWatchServer(b *Server, log *history.Log) (f *watchServer, err error) {
+	f = &watchServer{board: b, log: log, watchers: map[*watcher]struct{}{}, last: log.Last(),
 		told: acknowledged.New(b.store.Fleet().Rules().ToldWithinMS)}
-	f.listener, err = b.loop.Listen(b.set.Listen, func() transport.Handler { return &followerConn{feed: f} },
-		func(c *transport.Conn, h transport.Handler) { f.admit(c, h.(*followerConn)) })
-	f.watch.Fire = f.look
+	f.listener, err = b.loop.Listen(b.set.Listen, func() transport.Handler { return &watcher{feed: f} },
+		func(c *transport.Conn, h transport.Handler) { f.admit(c, h.(*watcher)) })
+	f.watch.Fire = f.checkLease
 	return f, err
 }
 
 // allowed tells whether an address may follow.
-func (f *feed) allowed(a netip.Addr) bool {
+func (f *watchServer) allowed(a netip.Addr) bool {
 	if f.board.set.Followers == nil {
 		return a.IsLoopback()
 	}
 	return f.board.set.Followers.Contains(a)
 }
 
-func (f *feed) admit(conn *transport.Conn, c *followerConn) {
+func (f *watchServer) admit(conn *transport.Conn, c *watcher) {
 	c.conn, c.peer = conn, conn.Peer().Addr().Unmap()
 	status := 0
 	switch {
-	case !f.holds():
+	case !f.hasLease():
 		status = 503
 	case !f.allowed(c.peer):
 		status = 403
 		slog.Warn("follower.not_allowed", "addr", c.peer.String())
-	case len(f.followers) >= mostFollowers:
+	case len(f.watchers) >= maxWatchers:
 		status = 503
-		slog.Warn("follower.turned_away", "followers", len(f.followers))
+		slog.Warn("follower.turned_away", "followers", len(f.watchers))
 	}
 	if status != 0 {
 		c.refuse(status)
@@ -76,7 +76,7 @@
 	}
 	f.ids++
 	c.id = f.ids
-	f.followers[c] = struct{}{}
+	f.watchers[c] = struct{}{}
 	f.mu.Lock()
 	f.told.Join(c.id, c.peer)
 	f.mu.Unlock()
@@ -85,7 +85,7 @@
 }
 
 // publish takes in durable events and answers those who wait.
-func (f *feed) publish(events []fleet.Event, after fleet.Fleet) {
+func (f *watchServer) publish(events []fleet.Event, after fleet.Fleet) {
 	if err := f.log.Add(events, after); err != nil { // a fault of the program: what was told can't be trusted to go on
 		slog.Error("board.history_broken", "err", err)
 		f.board.Stop()
@@ -95,32 +95,32 @@
 	f.last = f.log.Last()
 	f.told.Within(after.Rules().ToldWithinMS)
 	f.mu.Unlock()
-	for c := range f.followers {
+	for c := range f.watchers {
 		if c.waiting {
 			c.answer()
 		}
 	}
-	f.board.exec.wake()
+	f.board.executor.wake()
 }
 
 // tellOpinions answers those who wait and share in what is seen of boxes.
-func (f *feed) tellOpinions() {
-	for c := range f.followers {
+func (f *watchServer) tellOpinions() {
+	for c := range f.watchers {
 		if c.waiting && c.call.Announce != nil && len(c.call.Announce.Signals) > 0 {
 			c.answer()
 		}
 	}
 }
 
-// holds tells whether the board may have followers: a copy may under its lease alone, for it may be cut off from the others
+// hasLease tells whether the board may have followers: a copy may under its lease alone, for it may be cut off from the others
 // and not know of it.
-func (f *feed) holds() bool { return f.board.group == nil || f.board.group.Holds() }
+func (f *watchServer) hasLease() bool { return f.board.group == nil || f.board.group.Holds() }
 
-// look ends all followers once the lease is over, so that they go where there is news.
-func (f *feed) look() {
-	if !f.holds() && len(f.followers) > 0 {
-		slog.Warn("followers.let_go", "followers", len(f.followers), "after", f.log.Last())
-		for c := range f.followers {
+// checkLease ends all followers once the lease is over, so that they go where there is news.
+func (f *watchServer) checkLease() {
+	if !f.hasLease() && len(f.watchers) > 0 {
+		slog.Warn("followers.let_go", "followers", len(f.watchers), "after", f.log.Last())
+		for c := range f.watchers {
 			c.conn.Close()
 			c.leave()
 		}
@@ -129,36 +129,36 @@
 }
 
 // replace goes on with another history, which has all of this one or what took its place.
-func (f *feed) replace(log *history.Log, after fleet.Fleet) {
+func (f *watchServer) replace(log *history.Log, after fleet.Fleet) {
 	f.log = log
 	f.publish(nil, after)
 }
 
-// toldUpTo is the number up to which every director has all events, those of other copies included.
-func (f *feed) toldUpTo() int64 {
+// acknowledgedRevision is the number up to which every director has all events, those of other copies included.
+func (f *watchServer) acknowledgedRevision() int64 {
 	if f.board.group != nil {
-		return f.board.group.Told()
+		return f.board.group.Acknowledged()
 	}
-	return f.ownTold()
+	return f.ownAcknowledged()
 }
 
-// ownTold is the number up to which the directors that follow here have all events.
-func (f *feed) ownTold() int64 {
+// ownAcknowledged is the number up to which the directors that follow here have all events.
+func (f *watchServer) ownAcknowledged() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.told.Told(f.last, f.board.clock())
 }
 
 // count is how many follow.
-func (f *feed) count() int {
+func (f *watchServer) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.told.Len()
 }
 
-// followerConn is one connection of a director's.
-type followerConn struct {
-	feed    *feed
+// watcher is one connection of a director's.
+type watcher struct {
+	feed    *watchServer
 	conn    *transport.Conn
 	peer    netip.Addr
 	id      int64
@@ -169,13 +169,13 @@
 }
 
 // Opened implements transport.Handler.
-func (c *followerConn) Opened() {}
+func (c *watcher) Opened() {}
 
 // Flushed implements transport.Handler.
-func (c *followerConn) Flushed() {}
+func (c *watcher) Flushed() {}
 
 // Closed implements transport.Handler.
-func (c *followerConn) Closed(err error) {
+func (c *watcher) Closed(err error) {
 	if !errors.Is(err, io.EOF) && !c.ended {
 		slog.Info("follower.lost", "addr", c.peer.String(), "err", err)
 	}
@@ -183,22 +183,22 @@
 	c.leave()
 }
 
-func (c *followerConn) leave() {
+func (c *watcher) leave() {
 	if c.ended {
 		return
 	}
 	c.ended = true
 	c.timer.Stop()
 	f := c.feed
-	delete(f.followers, c)
+	delete(f.watchers, c)
 	f.mu.Lock()
 	f.told.Leave(c.id, f.last, f.board.clock())
 	f.mu.Unlock()
-	f.board.exec.wake()
+	f.board.executor.wake()
 }
 
 // due ends a wait with what there is, or a connection on which no call comes.
-func (c *followerConn) due() {
+func (c *watcher) due() {
 	if c.waiting {
 		c.answer()
 		return
@@ -208,7 +208,7 @@
 }
 
 // Data implements transport.Handler.
-func (c *followerConn) Data(b []byte) (used, need int, err error) {
+func (c *watcher) Data(b []byte) (used, need int, err error) {
 	if c.ended {
 		return len(b), 0, nil
 	}
@@ -232,7 +232,7 @@
 }
 
 // grant is what is added to the answer of a follower that shares in turns, or in what is seen of boxes; nil if there is nothing.
-func (c *followerConn) grant() []byte {
+func (c *watcher) grant() []byte {
 	if c.call.Announce == nil {
 		return nil
 	}
@@ -242,11 +242,11 @@
 			out = append(append(out, `,"`+name+`":`...), b...)
 		}
 	}
-	if g := c.feed.board.roll.granted(c.call.Announce.ID()); g != nil {
+	if g := c.feed.board.membership.granted(c.call.Announce.ID()); g != nil {
 		add("turns", g)
 	}
 	if len(c.call.Announce.Signals) > 0 {
-		if o := c.feed.board.roll.opinions(c.call.Announce.ID()); o != nil {
+		if o := c.feed.board.membership.opinions(c.call.Announce.ID()); o != nil {
 			add("signals", o)
 		}
 	}
@@ -257,12 +257,12 @@
 }
 
 // wantsRoll tells whether the follower announces itself and has nothing of the roll, though there is one.
-func (c *followerConn) wantsRoll() bool {
+func (c *watcher) wantsRoll() bool {
 	return c.call.Announce != nil && c.call.Announce.Roll == 0 && c.feed.log.HasRoll()
 }
 
 // refuse answers with an error and ends the connection once that is taken.
-func (c *followerConn) refuse(status int) {
+func (c *watcher) refuse(status int) {
 	c.ended = true
 	body := []byte(`{"no":0,"items":[]}`)
 	c.conn.Write(bulletin.AppendHead(nil, status, len(body), true), body)
@@ -271,9 +271,9 @@
 	c.feed.board.loop.Set(&c.timer, c.feed.board.loop.Now()+refusedWithin)
 }
 
-func (c *followerConn) ask() {
+func (c *watcher) ask() {
 	f := c.feed
-	if !f.holds() { // it may have run out while the process was paused
+	if !f.hasLease() { // it may have run out while the process was paused
 		c.conn.Close()
 		c.leave()
 		return
@@ -286,10 +286,10 @@
 	behind := c.call.After < f.last || c.wantsRoll()
 	f.mu.Unlock()
 	if a := c.call.Announce; a != nil {
-		f.board.roll.heard(*a, c.call.After)
+		f.board.membership.heard(*a, c.call.After)
 	}
 	if !behind {
-		f.board.exec.wake()
+		f.board.executor.wake()
 	}
 	c.waiting = true
 	if behind {
@@ -300,9 +300,9 @@
 }
 
 // answer ends the wait with what is new, if anything is.
-func (c *followerConn) answer() {
+func (c *watcher) answer() {
 	f := c.feed
-	if !f.holds() {
+	if !f.hasLease() {
 		c.conn.Close()
 		c.leave()
 		return
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -115,7 +115,7 @@
 
 type flight struct {
 	to    *director
-	beat  *quota.Beat
+	beat  *quota.Renewal
 	grant *quota.Grant
 	at    time.Duration
 }
@@ -126,9 +126,9 @@
 	now     time.Duration
 	all     []*director
 	net     []flight
-	granter *quota.Granter
+	granter *quota.Allocator
 	epoch   int64
-	roll    *membership.Roll
+	roll    *membership.Tracker
 	fleet   fleet.Fleet
 	limits  []string
 	res     Result
@@ -142,7 +142,7 @@
 	}
 	cfg.fill()
 	m := &model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 17)), epoch: 1, poor: -1}
-	m.granter = quota.NewGranter(Turns, 1, 0, true)
+	m.granter = quota.NewAllocator(Turns, 1, 0, true)
 	m.roll = membership.New(membership.Settings{Lease: 600 * time.Millisecond, Drift: 0.02, Gather: 150 * time.Millisecond})
 	for i := range cfg.Boxes {
 		m.limits = append(m.limits, fmt.Sprintf("cold:box-%d", i))
@@ -204,7 +204,7 @@
 	}
 	if m.at(m.cfg.Regrant) {
 		m.epoch++
-		m.granter = quota.NewGranter(Turns, m.epoch, m.now, false)
+		m.granter = quota.NewAllocator(Turns, m.epoch, m.now, false)
 		m.roll.Begin(m.fleet, m.now)
 	}
 }
@@ -222,7 +222,7 @@
 		for i, l := range m.limits {
 			d.holder.Want(quota.Want{Limit: l, Kind: quota.Rate, Demand: d.demand[i]})
 		}
-		b := d.holder.Beat(m.clock(d))
+		b := d.holder.Renewal(m.clock(d))
 		if m.now < d.cut || m.rng.Float64() < m.cfg.Loss {
 			continue
 		}
@@ -252,8 +252,8 @@
 		case !f.to.alive:
 		case f.beat != nil:
 			d := fleet.Director{Name: f.to.id[:len(f.to.id)-2], Incarnation: "1"}
-			m.roll.Heard(membership.Sign{ID: f.to.id, Director: &d, At: m.now})
-			g := m.granter.Beat(*f.beat, m.now)
+			m.roll.Heard(membership.Heartbeat{ID: f.to.id, Director: &d, At: m.now})
+			g := m.granter.Renew(*f.beat, m.now)
 			if m.rng.Float64() >= m.cfg.Loss {
 				m.count(g)
 				left = append(left, flight{to: f.to, grant: &g, at: m.now + m.delay()})
@@ -269,7 +269,7 @@
 	if c := m.roll.Change(m.fleet, m.now); c != nil {
 		if f, err := m.fleet.Apply(fleet.Event{No: m.fleet.Revision + 1, Roll: c}); err == nil {
 			m.fleet = f
-			m.roll.Told(m.now)
+			m.roll.Announced(m.now)
 			m.res.RollEvents++
 		}
 	}
--- a/internal/membership/roll.go
+++ b/internal/membership/membership.go
@@ -46,8 +46,8 @@
 	Behind time.Duration
 }
 
-// Roll is what one who leads knows. It is not safe for concurrent use.
-type Roll struct {
+// Tracker is what one who leads knows. It is not safe for concurrent use.
+type Tracker struct {
 	set     Settings
 	known   map[string]*director
 	lost    map[string]Lost // by name
@@ -55,12 +55,12 @@
 }
 
 // New makes an empty roll.
-func New(set Settings) *Roll {
-	return &Roll{set: set, known: map[string]*director{}, lost: map[string]Lost{}}
+func New(set Settings) *Tracker {
+	return &Tracker{set: set, known: map[string]*director{}, lost: map[string]Lost{}}
 }
 
 // Begin takes over a roll as it was told: all on it count as heard of now, for nobody knows when they were.
-func (r *Roll) Begin(f fleet.Fleet, now time.Duration) {
+func (r *Tracker) Begin(f fleet.Fleet, now time.Duration) {
 	clear(r.known)
 	for d := range f.Directors() {
 		r.known[d.ID()] = &director{Director: *d, heard: now, says: true}
@@ -68,19 +68,19 @@
 	r.changed = now
 }
 
-// Sign is that a director was there, at a moment that may lie a little back. Only its ID is known of one that was not heard
+// Heartbeat is that a director was there, at a moment that may lie a little back. Only its ID is known of one that was not heard
 // to say what it is.
-type Sign struct {
+type Heartbeat struct {
 	ID       string
 	Director *fleet.Director // nil: not said this time
 	Leaving  bool
 	At       time.Duration
-	Acts     int64  // number of the last event that it acts by
+	Applied  int64  // number of the last event that it acts by
 	Config   string // a mark of its configuration; empty: not said
 }
 
 // Heard takes a sign in.
-func (r *Roll) Heard(s Sign) {
+func (r *Tracker) Heard(s Heartbeat) {
 	d := r.known[s.ID]
 	if d == nil {
 		if s.Director == nil || s.Leaving {
@@ -93,7 +93,7 @@
 		d.Director, d.says = *s.Director, true
 	}
 	d.leaving = d.leaving || s.Leaving
-	d.at = max(d.at, s.Acts)
+	d.at = max(d.at, s.Applied)
 	if s.Config != "" {
 		d.config = s.Config
 	}
@@ -109,13 +109,13 @@
 }
 
 // Suspected tells whether a director has missed more than its line usually does, though it does not count as gone.
-func (r *Roll) Suspected(id string, now time.Duration) bool {
+func (r *Tracker) Suspected(id string, now time.Duration) bool {
 	d := r.known[id]
 	return d == nil || now-d.heard > d.gap+4*d.deviation && now-d.heard > r.set.Lease/2
 }
 
 // LastHeard is when a director was heard of last; false if it never was.
-func (r *Roll) LastHeard(id string) (at time.Duration, known bool) {
+func (r *Tracker) LastHeard(id string) (at time.Duration, known bool) {
 	d := r.known[id]
 	if d == nil {
 		return 0, false
@@ -125,7 +125,7 @@
 
 // Versions tells what each director acts by, against the last event that there is. It is to be called often: how long one
 // is behind counts from the first call that finds it so.
-func (r *Roll) Versions(last int64, now time.Duration) map[string]Version {
+func (r *Tracker) Versions(last int64, now time.Duration) map[string]Version {
 	out := make(map[string]Version, len(r.known))
 	for id, d := range r.known {
 		v := Version{At: d.at, Config: d.config}
@@ -144,7 +144,7 @@
 
 // Change is what there is to tell against a roll that was told; nil if nothing, or if it is too soon. A director under the
 // name of another joins only with that one gone: it has ended it.
-func (r *Roll) Change(f fleet.Fleet, now time.Duration) *fleet.RollChange {
+func (r *Tracker) Change(f fleet.Fleet, now time.Duration) *fleet.RollChange {
 	if now-r.changed < r.set.Gather {
 		return nil
 	}
@@ -187,7 +187,7 @@
 }
 
 // another tells whether the roll has another process of this one's name that is not gone.
-func (r *Roll) another(f fleet.Fleet, d *director, gone []string) bool {
+func (r *Tracker) another(f fleet.Fleet, d *director, gone []string) bool {
 	for o := range f.Directors() {
 		if o.Name == d.Name && o.ID() != d.ID() && !slices.Contains(gone, o.ID()) {
 			return true
@@ -207,7 +207,7 @@
 const lostFor = 10 * time.Minute
 
 // Lost are those that have gone without a word lately, and have not come back under their names.
-func (r *Roll) Lost(now time.Duration) (all []Lost) {
+func (r *Tracker) Lost(now time.Duration) (all []Lost) {
 	for name, l := range r.lost {
 		if now-l.Since > lostFor {
 			delete(r.lost, name)
@@ -219,5 +219,5 @@
 	return all
 }
 
-// Told tells that a change was made.
-func (r *Roll) Told(now time.Duration) { r.changed = now }
+// Announced tells that a change was made.
+func (r *Tracker) Announced(now time.Duration) { r.changed = now }
--- a/internal/membership/roll_test.go
+++ b/internal/membership/membership_test.go
@@ -13,7 +13,7 @@
 // world is a roll and the history that it is told in.
 type world struct {
 	t    *testing.T
-	r    *Roll
+	r    *Tracker
 	f    fleet.Fleet
 	now  time.Duration
 	told int
@@ -25,7 +25,7 @@
 
 func (w *world) hear(name, inc string, leaving bool) {
 	d := fleet.Director{Name: name, Incarnation: inc}
-	w.r.Heard(Sign{ID: d.ID(), Director: &d, Leaving: leaving, At: w.now})
+	w.r.Heard(Heartbeat{ID: d.ID(), Director: &d, Leaving: leaving, At: w.now})
 }
 
 // look makes what there is to tell an event.
@@ -40,7 +40,7 @@
 		w.t.Fatal(err)
 	}
 	w.f = f
-	w.r.Told(w.now)
+	w.r.Announced(w.now)
 	w.told++
 	return c
 }
--- a/internal/program/roll.go
+++ b/internal/program/roll.go
@@ -91,7 +91,7 @@
 		r.want()
 	}
 	var err error
-	if a.Turns, err = json.Marshal(r.turns.Beat(bootTime())); err != nil {
+	if a.Turns, err = json.Marshal(r.turns.Renewal(bootTime())); err != nil {
 		panic(err) // texts and numbers
 	}
 	if r.signals != nil {
--- a/internal/quota/granter.go
+++ b/internal/quota/allocator.go
@@ -39,32 +39,32 @@
 	Most   int     `json:"most,omitempty"` // turns: holders at a time; 0: one
 }
 
-// Beat is what a holder says of itself, again and again.
-type Beat struct {
+// Renewal is what a holder says of itself, again and again.
+type Renewal struct {
 	Holder string `json:"holder"`
 	Seq    uint64 `json:"seq"`   // rises with each beat
 	Taken  uint64 `json:"taken"` // the beat whose grant is in use: no older grant will be any more
 	Wants  []Want `json:"wants,omitempty"`
 }
 
-// Part is a grant of one limit.
-type Part struct {
+// Share is a grant of one limit.
+type Share struct {
 	Limit string  `json:"limit"`
 	Part  float64 `json:"part"` // turns: 1 or 0
 }
 
 // Grant answers a beat.
 type Grant struct {
-	Holder string `json:"holder"` // whose beat: nobody else takes it, and no later process under the same name
-	Epoch  int64  `json:"epoch"`  // of the granter: what a later one has said is not undone by an older one
-	Seq    uint64 `json:"seq"`    // of the beat
-	Parts  []Part `json:"parts,omitempty"`
+	Holder string  `json:"holder"` // whose beat: nobody else takes it, and no later process under the same name
+	Epoch  int64   `json:"epoch"`  // of the granter: what a later one has said is not undone by an older one
+	Seq    uint64  `json:"seq"`    // of the beat
+	Parts  []Share `json:"parts,omitempty"`
 	// Fallback is the part of each rate that may be used where no part is in force; it fades.
 	Fallback float64 `json:"fallback,omitempty"`
 }
 
-// Granter divides limits. It is not safe for concurrent use.
-type Granter struct {
+// Allocator divides limits. It is not safe for concurrent use.
+type Allocator struct {
 	set    Settings
 	epoch  int64
 	since  time.Duration // when it began
@@ -86,7 +86,7 @@
 const aimsFor = 50 * time.Millisecond
 
 // aim finds the targets of a rate.
-func (g *Granter) aim(l *limit, now time.Duration) {
+func (g *Allocator) aim(l *limit, now time.Duration) {
 	ids := slices.Sorted(maps.Keys(l.holders))
 	demands := make([]float64, len(ids))
 	for i, id := range ids {
@@ -123,9 +123,9 @@
 	return most
 }
 
-// NewGranter makes a granter. One that takes over from another gives nothing until what that one gave is over.
-func NewGranter(set Settings, epoch int64, now time.Duration, first bool) *Granter {
-	g := &Granter{set: set, epoch: epoch, since: now, limits: map[string]*limit{}, last: map[string]uint64{}, backs: map[string]*holder{}}
+// NewAllocator makes a granter. One that takes over from another gives nothing until what that one gave is over.
+func NewAllocator(set Settings, epoch int64, now time.Duration, first bool) *Allocator {
+	g := &Allocator{set: set, epoch: epoch, since: now, limits: map[string]*limit{}, last: map[string]uint64{}, backs: map[string]*holder{}}
 	if first {
 		g.since -= set.waits() + set.fades()
 	}
@@ -137,7 +137,7 @@
 
 // fallback decides what of the reserve one may fall back to: an even part, as far as what the others may still fall back to
 // leaves room. One that takes over gives none until what the one before it gave has faded.
-func (g *Granter) fallback(b Beat, now time.Duration) float64 {
+func (g *Allocator) fallback(b Renewal, now time.Duration) float64 {
 	own := g.backs[b.Holder]
 	if own == nil {
 		own = &holder{}
@@ -170,8 +170,8 @@
 	return part
 }
 
-// Beat takes a beat in and answers it. A beat that comes again, or after a later one, is answered with nothing.
-func (g *Granter) Beat(b Beat, now time.Duration) Grant {
+// Renew takes a beat in and answers it. A beat that comes again, or after a later one, is answered with nothing.
+func (g *Allocator) Renew(b Renewal, now time.Duration) Grant {
 	answer := Grant{Holder: b.Holder, Epoch: g.epoch, Seq: b.Seq}
 	if b.Seq <= g.last[b.Holder] {
 		return answer
@@ -202,7 +202,7 @@
 			part = g.part(l, b.Holder, h, now)
 		}
 		h.given = append(h.given, given{b.Seq, part, now + g.set.waits()})
-		answer.Parts = append(answer.Parts, Part{w.Limit, part})
+		answer.Parts = append(answer.Parts, Share{w.Limit, part})
 	}
 	answer.Fallback = g.fallback(b, now)
 	for name, l := range g.limits { // what it does not name any more it has given up
@@ -215,11 +215,11 @@
 
 // settle forgets grants that are not in use any more: those before the one that the holder has taken, and those that are
 // over.
-func (g *Granter) settle(h *holder, b Beat, now time.Duration) {
+func (g *Allocator) settle(h *holder, b Renewal, now time.Duration) {
 	h.given = slices.DeleteFunc(h.given, func(x given) bool { return now >= x.until || x.seq < b.Taken })
 }
 
-func (g *Granter) drop(name string, l *limit, id string) {
+func (g *Allocator) drop(name string, l *limit, id string) {
 	delete(l.holders, id)
 	l.queue = slices.DeleteFunc(l.queue, func(q string) bool { return q == id })
 	if len(l.holders) == 0 {
@@ -228,7 +228,7 @@
 }
 
 // part decides what one gets now.
-func (g *Granter) part(l *limit, id string, h *holder, now time.Duration) float64 {
+func (g *Allocator) part(l *limit, id string, h *holder, now time.Duration) float64 {
 	if l.kind == Turns {
 		return g.turn(l, id, h, now)
 	}
@@ -254,7 +254,7 @@
 }
 
 // turn gives one of the turns to those who have waited longest.
-func (g *Granter) turn(l *limit, id string, h *holder, now time.Duration) float64 {
+func (g *Allocator) turn(l *limit, id string, h *holder, now time.Duration) float64 {
 	if h.demand == 0 {
 		l.queue = slices.DeleteFunc(l.queue, func(q string) bool { return q == id })
 		return 0
@@ -289,7 +289,7 @@
 }
 
 // Held lists what is in force and who waits.
-func (g *Granter) Held(now time.Duration) (all []Held) {
+func (g *Allocator) Held(now time.Duration) (all []Held) {
 	for _, name := range slices.Sorted(maps.Keys(g.limits)) {
 		l := g.limits[name]
 		for _, id := range slices.Sorted(maps.Keys(l.holders)) {
@@ -305,7 +305,7 @@
 }
 
 // Sweep forgets limits that nobody holds or wants any more.
-func (g *Granter) Sweep(now time.Duration) {
+func (g *Allocator) Sweep(now time.Duration) {
 	for name, l := range g.limits {
 		for id, h := range l.holders {
 			if h.out(now) == 0 && now >= h.beat+g.set.waits() {
--- a/internal/quota/explore_test.go
+++ b/internal/quota/explore_test.go
@@ -13,7 +13,7 @@
 // Holders' clocks run fast, right and slow by the drift.
 type world struct {
 	now      time.Duration
-	granters [2]*Granter
+	granters [2]*Allocator
 	leads    int
 	holders  [3]*Holder
 	wants    [3]float64
@@ -70,7 +70,7 @@
 			c := w.clone()
 			c.beats++
 			c.holders[i].Want(Want{Limit: "box", Kind: Rate, Demand: c.wants[i]})
-			b := c.holders[i].Beat(c.clock(i))
+			b := c.holders[i].Renewal(c.clock(i))
 			c.net = append(c.net, flight{from: i, beat: &b})
 			visit(c)
 		}
@@ -87,7 +87,7 @@
 				}
 				c.holders[x.from].Take(*x.grant, c.clock(x.from))
 			case x.beat != nil && c.granters[at] != nil && at <= c.leads:
-				g := c.granters[at].Beat(*x.beat, c.now)
+				g := c.granters[at].Renew(*x.beat, c.now)
 				c.net = append(c.net, flight{from: x.from, grant: &g})
 			default:
 				continue
@@ -104,7 +104,7 @@
 	}
 	if w.leads == 0 {
 		c := w.clone()
-		c.leads, c.granters[1] = 1, NewGranter(exploreSet, 2, c.now, false)
+		c.leads, c.granters[1] = 1, NewAllocator(exploreSet, 2, c.now, false)
 		visit(c)
 	}
 }
@@ -140,7 +140,7 @@
 	return h.Sum64()
 }
 
-func (g *Granter) held() map[string]*holder {
+func (g *Allocator) held() map[string]*holder {
 	if l := g.limits["box"]; l != nil {
 		return l.holders
 	}
@@ -149,7 +149,7 @@
 
 func explore(depth, speak, most int, before bool) (states int, worst float64) {
 	w := &world{speak: speak, most: most, wants: [3]float64{1, 1, 0.1}, before: [3]bool{before, before, before}}
-	w.granters[0] = NewGranter(exploreSet, 1, 0, true)
+	w.granters[0] = NewAllocator(exploreSet, 1, 0, true)
 	for i := range w.holders {
 		w.holders[i] = NewHolder(fmt.Sprint("d", i), exploreSet)
 	}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -40,8 +40,8 @@
 	h.wants[w.Limit] = w
 }
 
-// Beat is what is to be said now.
-func (h *Holder) Beat(now time.Duration) Beat {
+// Renewal is what is to be said now.
+func (h *Holder) Renewal(now time.Duration) Renewal {
 	h.seq++
 	for seq, at := range h.asked {
 		if now-at >= h.set.Lease {
@@ -49,7 +49,7 @@
 		}
 	}
 	h.asked[h.seq] = now
-	b := Beat{Holder: h.id, Seq: h.seq, Taken: h.taken}
+	b := Renewal{Holder: h.id, Seq: h.seq, Taken: h.taken}
 	for _, w := range h.wants {
 		b.Wants = append(b.Wants, w)
 	}
--- a/internal/quota/turns_test.go
+++ b/internal/quota/quota_test.go
@@ -54,9 +54,9 @@
 	rng     *rand.Rand
 	now     time.Duration
 	holders []*simHolder
-	granter *Granter
+	granter *Allocator
 	epoch   int64
-	old     []*Granter // of before; one that was paused may answer what had come to it
+	old     []*Allocator // of before; one that was paused may answer what had come to it
 	net     []flight
 	worst   float64
 	unused  time.Duration // for how long together less than half of the limit was out though all wanted it
@@ -76,7 +76,7 @@
 
 type flight struct {
 	from  int
-	beat  *Beat
+	beat  *Renewal
 	grant *Grant
 	at    time.Duration
 }
@@ -98,7 +98,7 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	return &fleet{rng: rand.New(rand.NewPCG(seed, 3)), granter: NewGranter(set(), 1, 0, true), epoch: 1}
+	return &fleet{rng: rand.New(rand.NewPCG(seed, 3)), granter: NewAllocator(set(), 1, 0, true), epoch: 1}
 }
 
 func (f *fleet) add(i int) {
@@ -116,7 +116,7 @@
 	switch f.rng.IntN(300) {
 	case 0: // another granter; the one before it answers what it has for a while
 		f.epoch++
-		f.granter = NewGranter(set(), f.epoch, f.now, f.noEpoch)
+		f.granter = NewAllocator(set(), f.epoch, f.now, f.noEpoch)
 		f.net = nil
 	case 1:
 		f.holders[f.rng.IntN(len(f.holders))].paused = f.now + time.Duration(f.rng.IntN(2000))*ms
@@ -136,7 +136,7 @@
 		} else {
 			h.h.Want(Want{Limit: "box", Kind: Rate, Demand: h.demand})
 		}
-		b := h.h.Beat(f.clock(h))
+		b := h.h.Renewal(f.clock(h))
 		if f.now >= h.cut && f.rng.IntN(20) > 0 {
 			f.net = append(f.net, flight{from: i, beat: &b, at: f.now + time.Duration(f.rng.IntN(120))*ms})
 		}
@@ -148,7 +148,7 @@
 		case f.now < x.at || f.now < h.paused:
 			left = append(left, x)
 		case x.beat != nil:
-			g := f.granter.Beat(*x.beat, f.now)
+			g := f.granter.Renew(*x.beat, f.now)
 			left = append(left, flight{from: x.from, grant: &g, at: f.now + time.Duration(f.rng.IntN(200))*ms})
 		default:
 			if f.receipt {
@@ -206,11 +206,11 @@
 		t.Errorf("%v of the limit may be used", f.worst)
 	}
 	before, after := NewHolder("d/1", set()), NewHolder("d/2", set())
-	g := NewGranter(set(), 1, 0, true)
+	g := NewAllocator(set(), 1, 0, true)
 	before.Want(Want{Limit: "box", Kind: Rate, Demand: 1})
 	after.Want(Want{Limit: "box", Kind: Rate, Demand: 1})
-	late := g.Beat(before.Beat(0), 0)
-	after.Beat(0)
+	late := g.Renew(before.Renewal(0), 0)
+	after.Renewal(0)
 	if after.Take(late, ms); after.Part("box", ms) != 0 {
 		t.Errorf("it took over %v", after.Part("box", ms))
 	}
@@ -223,7 +223,7 @@
 func TestPartsAreFair(t *testing.T) {
 	for _, demands := range [][]float64{{1, 1, 1, 1, 1, 1, 1, 1}, {0.05, 0.1, 1, 1}, {1000, 1, 1}} {
 		s := set()
-		g, now := NewGranter(s, 1, 0, true), time.Duration(0)
+		g, now := NewAllocator(s, 1, 0, true), time.Duration(0)
 		var hs []*Holder
 		for i := range demands {
 			hs = append(hs, NewHolder(fmt.Sprint(i), s))
@@ -232,7 +232,7 @@
 			now += 50 * ms
 			for i, h := range hs {
 				h.Want(Want{Limit: "x", Kind: Rate, Demand: demands[i]})
-				h.Take(g.Beat(h.Beat(now), now), now)
+				h.Take(g.Renew(h.Renewal(now), now), now)
 			}
 		}
 		capped := make([]float64, len(demands))
@@ -251,7 +251,7 @@
 // A turn goes from one to the next, at most so many have one, and one that is lost comes back after its lease.
 func TestTurnsGoRound(t *testing.T) {
 	s := set()
-	g, now := NewGranter(s, 1, 0, true), time.Duration(0)
+	g, now := NewAllocator(s, 1, 0, true), time.Duration(0)
 	var hs []*Holder
 	for i := range 5 {
 		hs = append(hs, NewHolder(fmt.Sprint(i), s))
@@ -269,7 +269,7 @@
 				demand = 0
 			}
 			h.Want(Want{Limit: "look", Kind: Turns, Demand: demand})
-			h.Take(g.Beat(h.Beat(now), now), now)
+			h.Take(g.Renew(h.Renewal(now), now), now)
 		}
 		for i, h := range hs {
 			if h.Part("look", now) > 0 {
