--- a/internal/program/cores.go
+++ b/internal/program/cores.go
@@ -153,7 +153,7 @@
 	}
 	for f, ok := c.cursor.Next(); ok; f, ok = c.cursor.Next() {
 		p.director.Told(f.at)
-		p.discovery.take(f.Feed)
+		p.discovery.apply(f.Feed)
 		p.director.Told(0)
 	}
 }
--- a/internal/program/cores_test.go
+++ b/internal/program/cores_test.go
@@ -165,7 +165,7 @@
 	c.news <- fmt.Sprintf(`{"no":2,"items":[{"no":2,"roster":{"seq":2,"whole":true,"hosts":[%s]}}]}`, silent.host("s-9", "in_service"))
 	seen := make(chan bool, 4)
 	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		c.g.post(func(p *Program) { seen <- p.discovery.last >= 2 })
+		c.g.post(func(p *Program) { seen <- p.discovery.applied >= 2 })
 		all := true
 		for range 4 {
 			all = <-seen && all
--- a/internal/program/discovery_test.go
+++ b/internal/program/discovery_test.go
@@ -21,7 +21,7 @@
 	var pauses []time.Duration
 	for i := range crowd {
 		f := newDiscovery(loop, nil, make([]netip.AddrPort, 1), crowd, uint64(i))
-		p := f.pause()
+		p := f.retryPause()
 		perSlot[p/slot]++
 		pauses = append(pauses, p)
 	}
@@ -33,7 +33,7 @@
 	if last := slices.Max(pauses); last > 500*time.Millisecond {
 		t.Errorf("the last one waits %v; news count as told 2 s after a break", last)
 	}
-	if alone := newDiscovery(loop, nil, make([]netip.AddrPort, 1), 0, 1).pause(); alone > 2*watchRetryMin {
+	if alone := newDiscovery(loop, nil, make([]netip.AddrPort, 1), 0, 1).retryPause(); alone > 2*watchRetryMin {
 		t.Errorf("a single one waits %v", alone)
 	}
 }
--- /dev/null
+++ b/internal/program/events.go
@@ -0,0 +1,275 @@
+package program
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/routing"
+	"stairvane.org/stairvane/internal/transport"
+)
+
+const (
+	// An event counts as delivered 7 s after it was published, so a silent event stream must be noticed well before.
+	watchPatience = 2 * time.Second
+	watchSilence  = watchPatience + time.Second
+	watchDial     = time.Second
+	watchRetryMin = 20 * time.Millisecond
+	watchRetryMax = 500 * time.Millisecond
+	// Connections break for all directors at once; each further director widens the time over which they reconnect.
+	watchRetrySpread = 2500 * time.Microsecond
+	// With several addresses, a silent one is left for the next soon enough that a purge still arrives in time.
+	watchPatienceMany = 100 * time.Millisecond
+	watchSilenceMany  = 2 * watchPatienceMany
+	watchDialMany     = 200 * time.Millisecond
+	watchRetryMany    = 40 * time.Millisecond // at most: while replicas elect a leader, all refuse their watchers for half a second
+)
+
+// discovery watches the event stream by long polls, one at a time.
+type discovery struct {
+	loop              *transport.Loop
+	director          *routing.Director
+	address           netip.AddrPort
+	addresses         []netip.AddrPort // all of them, the configuration's first
+	addressIndex      int              // of addr among them
+	applied           int64            // the number of the last event taken in
+	conn              *transport.Conn
+	timer             transport.Timer
+	retry             time.Duration
+	failing           bool
+	request           []byte
+	rng               *rand.Rand
+	directors         int                 // that watch the event stream, this one included
+	publish           func(bulletin.Feed) // to the other cores; nil: there are none
+	membership        *membershipClient   // nil: the director does not announce itself
+	requestedAt       time.Duration       // when the call that is open was made, since the machine started
+	leaveSent         bool                // the open call says that the director leaves
+	leaveAcknowledged bool                // a call that said so was answered
+
+	unreadable int // events that were skipped
+}
+
+func newDiscovery(loop *transport.Loop, d *routing.Director, addrs []netip.AddrPort, crowd int, seed uint64) *discovery {
+	f := &discovery{loop: loop, director: d, address: addrs[0], addresses: addrs, retry: watchRetryMin, directors: max(1, crowd),
+		rng: rand.New(rand.NewPCG(seed, 1))}
+	f.timer.Fire = f.overdue
+	return f
+}
+
+// overdue runs when the timer fires: it ends a call without an answer, or the pause between two connections. A connection
+// that is being established has a time-out of its own.
+func (f *discovery) overdue() {
+	if f.conn != nil {
+		f.connectionLost(errors.New("no answer in time"))
+		return
+	}
+	f.connect()
+}
+
+func (f *discovery) connect() {
+	f.timer.Stop()
+	within := watchDial
+	if len(f.addresses) > 1 {
+		within = watchDialMany
+	}
+	conn, err := f.loop.Dial(f.address, within, f)
+	if err != nil {
+		f.connectionLost(err)
+		return
+	}
+	f.conn = conn
+}
+
+// moveTo watches at another address, from the last applied event on. The old address serves nothing more, though it may
+// keep its connection open for a while.
+func (f *discovery) moveTo(addr netip.AddrPort) {
+	if addr == f.addresses[0] {
+		return
+	}
+	slog.Info("bulletin.moves", "from", f.address.String(), "to", addr.String(), "after", f.applied)
+	f.addresses[0], f.addressIndex, f.address, f.retry = addr, 0, addr, watchRetryMin
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	f.connect()
+}
+
+func (f *discovery) connectionLost(err error) {
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	if !f.failing {
+		slog.Warn("bulletin.lost", "addr", f.address.String(), "after", f.applied, "err", err)
+	}
+	f.failing = true
+	f.loop.Set(&f.timer, f.loop.Now()+f.retryPause())
+	f.addressIndex = (f.addressIndex + 1) % len(f.addresses)
+	f.address = f.addresses[f.addressIndex]
+	if f.addressIndex == 0 { // all have been tried
+		most := watchRetryMax
+		if len(f.addresses) > 1 {
+			most = watchRetryMany
+		}
+		f.retry = min(2*f.retry, most)
+	}
+}
+
+// retryPause is the time to wait before the next connection: half the usual time and a random part of as much again, spread
+// wider the more directors there are, since all lost their connections at the same moment.
+func (f *discovery) retryPause() time.Duration {
+	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+time.Duration(f.directors-1)*watchRetrySpread))
+}
+
+// Opened implements transport.Handler.
+func (f *discovery) Opened() { f.poll() }
+
+// Flushed implements transport.Handler.
+func (f *discovery) Flushed() {}
+
+// Closed implements transport.Handler.
+func (f *discovery) Closed(err error) {
+	f.conn = nil
+	f.connectionLost(err)
+}
+
+func (f *discovery) poll() {
+	patience, silence := watchPatience, watchSilence
+	if len(f.addresses) > 1 || f.membership != nil {
+		patience, silence = watchPatienceMany, watchSilenceMany
+	}
+	var announce []byte
+	if f.membership != nil {
+		announce = f.membership.announcement()
+		f.requestedAt, f.leaveSent = bootTime(), f.membership.leaving
+		if patience = watchPatienceMany; f.leaveSent {
+			patience = 0
+		}
+	}
+	f.request = bulletin.AppendRequest(f.request[:0], f.address.String(), f.applied, patience.Milliseconds(), announce)
+	f.conn.Write(f.request)
+	f.loop.Set(&f.timer, f.loop.Now()+silence)
+}
+
+// Data implements transport.Handler.
+func (f *discovery) Data(b []byte) (used, need int, err error) {
+	r, used, need, err := bulletin.ParseResponse(b)
+	if err != nil || used == 0 {
+		return 0, need, err
+	}
+	if r.Status != 200 {
+		return used, 0, fmt.Errorf("bulletin answered %d", r.Status)
+	}
+	news, err := bulletin.Decode(r.Body)
+	if err != nil {
+		return used, 0, err
+	}
+	f.retry = watchRetryMin
+	if f.membership != nil {
+		f.membership.renewed(f.requestedAt)
+		if len(news.Turns) > 0 {
+			f.membership.takeGrant(news.Turns)
+		}
+		if len(news.Signals) > 0 && f.membership.health != nil {
+			f.membership.health.takeAggregate(news.Signals, f.requestedAt)
+		}
+		f.leaveAcknowledged = f.leaveAcknowledged || f.leaveSent
+	}
+	if f.failing {
+		f.failing = false
+		slog.Info("bulletin.back", "at", f.applied, "addr", f.address.String())
+	}
+	for _, fault := range news.Faults {
+		f.unreadable++
+		slog.Error("bulletin.item_unreadable", "err", fault)
+	}
+	if f.publish != nil && len(news.Items) > 0 {
+		f.publish(news) // first: the others need not wait for this core
+	}
+	f.apply(news)
+	if r.Close {
+		f.conn.Close()
+		f.conn = nil
+		f.connect()
+		return used, 0, nil
+	}
+	f.poll()
+	return used, 0, nil
+}
+
+// announceNow reconnects, so that a changed announcement is sent at once.
+func (f *discovery) announceNow() {
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	f.connect()
+}
+
+// apply passes events on to the director, each once and in order.
+func (f *discovery) apply(news bulletin.Feed) {
+	for _, item := range news.Items {
+		if item.Roll != nil && f.membership != nil && (item.Roll.Whole || item.Number > f.applied) {
+			f.membership.applyChange(item.Number, item.Roll)
+		}
+		if item.Number <= f.applied {
+			continue
+		}
+		f.applied = item.Number
+		if item.Roster != nil {
+			f.applyHosts(item.Roster)
+		}
+		if item.Recall != nil {
+			f.applyPurge(item.Recall)
+			slog.Debug("bulletin.purge", "no", item.Number)
+		}
+	}
+	f.applied = max(f.applied, news.Last)
+}
+
+var states = map[string]stairvane.Readiness{
+	"in_service": stairvane.Ready, "terminating": stairvane.Draining, "terminated": stairvane.Gone,
+}
+
+func (f *discovery) applyHosts(r *bulletin.Roster) {
+	members := make([]routing.Member, 0, len(r.Hosts))
+	for _, h := range r.Hosts {
+		state, known := states[h.Health]
+		if !known {
+			slog.Warn("bulletin.unknown_state", "host", h.Name, "state", h.Health)
+			state = stairvane.Draining
+		}
+		members = append(members, routing.Member{
+			Name: h.Name, Address: h.Dial,
+			Member: stairvane.Member{
+				Zone: h.Site, Kind: h.Class, Cell: h.Block, Readiness: state, Weight: h.Share,
+				StartedAt: fromUnixMS(h.BornMS),
+			},
+		})
+	}
+	f.director.UpdateHosts(r.Sequence, r.Whole, members)
+}
+
+func (f *discovery) applyPurge(r *bulletin.Recall) {
+	issued := fromUnixMS(r.IssuedMS)
+	if r.Item != "" {
+		object, err := strconv.ParseUint(r.Item, 16, 64)
+		if err != nil {
+			slog.Error("bulletin.purge_unreadable", "object", r.Item)
+			return
+		}
+		f.director.PurgeObject(stairvane.ObjectID(object), issued)
+	}
+	if r.Lot != nil {
+		f.director.PurgeGroup(*r.Lot, issued)
+	}
+}
+
+func fromUnixMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -35,16 +35,16 @@
 
 // Program is one director process.
 type Program struct {
-	loop      *transport.Loop
-	director  *routing.Director
-	front     *front
-	discovery *discovery
-	config    config.Config // of the start
-	leave     transport.Timer
-	emptyAt   time.Duration
-	leftBy    time.Duration
-	core      *core   // nil where it is the only one
-	roll      *onRoll // nil: it is on no roll
+	loop       *transport.Loop
+	director   *routing.Director
+	front      *front
+	discovery  *discovery
+	config     config.Config // of the start
+	leave      transport.Timer
+	emptyAt    time.Duration
+	leftBy     time.Duration
+	core       *core             // nil where it is the only one
+	membership *membershipClient // nil: it is on no roll
 }
 
 // New builds a director: it listens when New returns and serves in Run.
@@ -79,15 +79,15 @@
 		own.join(p, &limits)
 	}
 	if c.Roll != nil {
-		if p.roll, err = newOnRoll(p, c); err != nil {
+		if p.membership, err = newMembershipClient(p, c); err != nil {
 			return nil, err
 		}
-		limits.Spent = p.roll.spent
+		limits.Spent = p.membership.shareExpired
 		if c.Roll.BehindMost > 0 {
-			limits.Behind = p.roll.behind
+			limits.Behind = p.membership.stale
 		}
-		if p.roll.claims != nil {
-			limits.Claims = p.roll.claims
+		if p.membership.claims != nil {
+			limits.Claims = p.membership.claims
 		}
 	}
 	links := &caches{loop: loop, report: reportMap(c.Pools.Reports)}
@@ -102,14 +102,14 @@
 	if own != nil {
 		p.discovery.publish = own.publish
 	}
-	p.discovery.roll = p.roll
-	p.discovery.take(c.Known)
+	p.discovery.membership = p.membership
+	p.discovery.apply(c.Known)
 	if p.front, err = newFront(loop, d, c.Listen, clients, idle, c.MemoryMB<<20); err != nil {
 		return nil, err
 	}
 	p.front.stuck = max(stuckAfter, limits.LongestAnswer)
 	if limits.Behind != nil {
-		p.front.well = func() bool { return !p.roll.behind() }
+		p.front.well = func() bool { return !p.membership.stale() }
 	}
 	if own == nil || own.index == 0 {
 		p.discovery.connect()
@@ -154,7 +154,7 @@
 	for _, key := range p.config.Differs(c) {
 		slog.Warn("reload.key_waits", "key", key)
 	}
-	p.discovery.move(c.Bulletin)
+	p.discovery.moveTo(c.Bulletin)
 	slog.Info("reload.done")
 }
 
@@ -192,15 +192,15 @@
 
 // sayLeaving tells the board that this director holds nothing any more, and whether that was said, or need not be.
 func (p *Program) sayLeaving(now time.Duration) bool {
-	if p.roll == nil {
+	if p.membership == nil {
 		return true
 	}
-	if !p.roll.leaving {
-		p.roll.leave()
-		p.discovery.say()
+	if !p.membership.leaving {
+		p.membership.leave()
+		p.discovery.announceNow()
 		p.leftBy = now + sayWithin
 	}
-	return p.discovery.said || now >= p.leftBy
+	return p.discovery.leaveAcknowledged || now >= p.leftBy
 }
 
 func (f *front) flushed() bool {
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -189,7 +189,7 @@
 	whole := response(2, change(2, c.host("s-1", "terminated")))
 	p.write(whole)
 	arrived(t, p.conn)
-	release(func() { w.p.discovery.move(netip.MustParseAddrPort(b.addr())) })
+	release(func() { w.p.discovery.moveTo(netip.MustParseAddrPort(b.addr())) })
 	b.watch(1)
 	w.serves(c)
 }
@@ -220,11 +220,11 @@
 	b := newBoard(t)
 	f := newDiscovery(loop, nil, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, 1, 1)
 	f.retry = time.Second
-	f.lost(net.ErrClosed)
+	f.connectionLost(net.ErrClosed)
 	if !f.timer.Active() {
 		t.Fatal("there is no pause")
 	}
-	f.move(netip.MustParseAddrPort(b.addr()))
+	f.moveTo(netip.MustParseAddrPort(b.addr()))
 	if f.conn == nil || f.timer.Active() {
 		t.Errorf("connecting %t, the pause goes on %t", f.conn != nil, f.timer.Active())
 	}
