--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -31,7 +31,7 @@
 	nodes  map[string]*simNode
 	names  []string
 	net    []flight
-	slots  []SlotState
+	slots  []ShardState
 	epoch  int64
 	on     []string
 	log    []news // of the roll
@@ -45,7 +45,7 @@
 
 type news struct {
 	joined, gone []string
-	slots        []SlotState
+	slots        []ShardState
 }
 
 type run struct {
@@ -184,7 +184,7 @@
 		slot := &s.slots[complete[i]]
 		if slot.Epoch == complete[i+1] && len(slot.From) > 0 {
 			slot.From = nil
-			s.log = append(s.log, news{slots: []SlotState{{Slot: int(complete[i]), Complete: complete[i+1]}}})
+			s.log = append(s.log, news{slots: []ShardState{{Slot: int(complete[i]), Complete: complete[i+1]}}})
 		}
 	}
 }
@@ -204,19 +204,19 @@
 			s.record(n.node.Incomplete())
 			for ; n.seen < len(s.log); n.seen++ {
 				l := s.log[n.seen]
-				n.node.Roll(l.joined, l.gone, false, l.slots, s.clock(n))
+				n.node.ApplyMembership(l.joined, l.gone, false, l.slots, s.clock(n))
 			}
 			n.node.Lease(s.clock(n) + simLease)
 		}
 		n.node.Tick(s.clock(n))
 		if all := n.node.Incomplete(); s.noWait && len(all) > 0 { // it takes its epoch for complete before the board has written that
-			n.node.Roll(nil, nil, false, []SlotState{{Slot: int(all[0]), Complete: all[1]}}, s.clock(n))
+			n.node.ApplyMembership(nil, nil, false, []ShardState{{Slot: int(all[0]), Complete: all[1]}}, s.clock(n))
 		}
 		if s.rng.IntN(25) == 0 { // a client's request, or its retry, comes here
 			w := want{fmt.Sprintf("t%d", int(s.now/(4*time.Second))*3+s.rng.IntN(3)), string(rune('x' + s.rng.IntN(3)))}
 			n.keys++
 			n.wants[n.keys] = w
-			n.node.Want(n.keys, Claim{Token: w.token, Object: 1, Group: w.group, Request: fmt.Sprintf("%s-%d", id, n.keys), Window: s.window}, s.rng.IntN(2) == 0, s.clock(n)+800*ms, s.clock(n))
+			n.node.Request(n.keys, Claim{Token: w.token, Object: 1, Group: w.group, Request: fmt.Sprintf("%s-%d", id, n.keys), Window: s.window}, s.rng.IntN(2) == 0, s.clock(n)+800*ms, s.clock(n))
 		}
 		s.work(n)
 	}
@@ -258,7 +258,7 @@
 func play(seed uint64, guard string) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 5)), nodes: map[string]*simNode{}, runs: map[string]run{}, window: 3 * time.Second, stats: map[Verdict]int{}}
 	s.noCopy, s.noShut, s.noWait = guard == "copies", guard == "closing", guard == "writing"
-	s.slots = make([]SlotState, 2)
+	s.slots = make([]ShardState, 2)
 	for i := range s.slots {
 		s.slots[i].Slot = i
 	}
@@ -344,12 +344,12 @@
 	w := &tiny{nodes: map[string]*Node{}, learnt: map[string]bool{}, groups: map[string]bool{}, now: time.Hour}
 	for _, id := range []string{"a", "b", "c"} {
 		n := New(id, Settings{Slots: 1, Slack: time.Second, MaxWindow: time.Minute, Most: 10, Again: 10 * ms})
-		n.Roll([]string{"a", "b", "c"}, nil, true, []SlotState{{Epoch: 1, Homes: []string{"a", "b"}}}, w.now)
+		n.ApplyMembership([]string{"a", "b", "c"}, nil, true, []ShardState{{Epoch: 1, Homes: []string{"a", "b"}}}, w.now)
 		n.Lease(w.now + time.Hour)
 		w.nodes[id] = n
 	}
 	for i, id := range []string{"b", "c"} {
-		w.nodes[id].Want(1, Claim{Token: "t", Object: 1, Group: string(rune('x' + i)), Request: id, Window: time.Minute}, true, w.now+time.Hour, w.now)
+		w.nodes[id].Request(1, Claim{Token: "t", Object: 1, Group: string(rune('x' + i)), Request: id, Window: time.Minute}, true, w.now+time.Hour, w.now)
 		w.work(id)
 	}
 	return w
@@ -405,7 +405,7 @@
 		id := string(rune('b' + c - 4))
 		if w.dead && !w.learnt[id] {
 			w.learnt[id] = true
-			w.nodes[id].Roll(nil, []string{"a"}, false, []SlotState{{Epoch: 2, Homes: []string{"b", "c"}, From: []string{"a", "b"}}}, w.now)
+			w.nodes[id].ApplyMembership(nil, []string{"a"}, false, []ShardState{{Epoch: 2, Homes: []string{"b", "c"}, From: []string{"a", "b"}}}, w.now)
 			w.work(id)
 		}
 	}
@@ -455,10 +455,10 @@
 			machineOf[p.ID], siteOf[p.ID] = p.Machine, p.Site
 			machines[p.Machine], sites[p.Site] = true, true
 		}
-		before := make([]SlotState, slots)
+		before := make([]ShardState, slots)
 		for i := range before {
 			h := Homes(i, most, places)
-			before[i] = SlotState{Slot: i, Homes: h}
+			before[i] = ShardState{Slot: i, Homes: h}
 			on, in := map[string]bool{}, map[string]bool{}
 			for _, id := range h {
 				on[machineOf[id]], in[siteOf[id]] = true, true
@@ -493,7 +493,7 @@
 		set := Settings{Slots: 1, Most: 100, MaxWindow: 4 * time.Second, Slack: time.Second, Again: 50 * ms}
 		n := New("c", set)
 		n.Lease(time.Hour)
-		n.Roll([]string{"a", "b", "c"}, nil, true, []SlotState{{Epoch: 2, Homes: []string{"c"}, From: []string{"a", "b"}}}, 0)
+		n.ApplyMembership([]string{"a", "b", "c"}, nil, true, []ShardState{{Epoch: 2, Homes: []string{"c"}, From: []string{"a", "b"}}}, 0)
 		out, _, _ := n.Take()
 		if told {
 			for _, s := range out {
@@ -502,11 +502,11 @@
 				}
 			}
 		}
-		n.Roll(nil, []string{"a", "b"}, false, nil, 2*time.Millisecond)
+		n.ApplyMembership(nil, []string{"a", "b"}, false, nil, 2*time.Millisecond)
 		for at := 2 * time.Millisecond; at < 10*time.Second; at += 500 * time.Millisecond {
 			n.Tick(at)
 			if all := n.Incomplete(); len(all) > 0 {
-				n.Roll(nil, nil, false, []SlotState{{Slot: int(all[0]), Complete: all[1]}}, at)
+				n.ApplyMembership(nil, nil, false, []ShardState{{Slot: int(all[0]), Complete: all[1]}}, at)
 			}
 			n.Receive("d", Message{Kind: Ask, Seq: uint64(at), Epoch: 2, Claims: []Claim{{Token: fmt.Sprint(at), Window: time.Second}}}, at)
 			out, _, _ := n.Take()
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -1,7 +1,7 @@
-// Package claims keeps what directors have promised for keyed requests: that a token runs in one group of caches alone
-// within its window, though the director that sent it is gone. The history says who holds which claims, by epochs; the
-// claims themselves are copied plainly between directors and never touch the history. The package is pure: messages, the
-// roll and the time come in; messages and verdicts go out.
+// Package claims keeps idempotency claims for keyed requests: a token runs in one group of caches only within its window,
+// even if the director that sent it is lost. The event log assigns the replicas of each shard, by epochs; the claims
+// themselves are replicated between directors and never enter the event log. The package does no I/O: messages, membership
+// and time come in; messages and verdicts go out.
 package claims
 
 import (
@@ -11,21 +11,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Place is a director that takes claims: its ID, the name by which places are drawn, and what fails together with it.
+// Place is a director that holds claims: its ID, the name by which replicas are drawn, and its failure domains.
 type Place struct {
 	ID, Name, Machine, Site string
 }
 
-// SlotOf is the part of the claims that a token belongs to, of so many.
+// SlotOf is the shard of a token among a number of shards.
 func SlotOf(token string, slots int) int { return int(xxhash.Sum64String(token) % uint64(slots)) }
 
-// weight is how much a place is wanted for a slot: rendezvous hashing, so that a change of places moves little.
+// weight is the rendezvous hash of a place for a shard, so that a change of places moves few shards.
 func weight(slot int, name string) uint64 {
 	return xxhash.Sum64String(string([]byte{byte(slot >> 8), byte(slot)}) + name)
 }
 
-// Homes are the IDs of those who hold a slot, so many at most, the one who decides first. Each is on another machine; each in
-// another site too, as far as there are sites.
+// Homes are the IDs of a shard's replicas, at most a number of them, the primary first. Each is on another machine, and in
+// another site as far as there are sites.
 func Homes(slot, most int, places []Place) []string {
 	type drawn struct {
 		Place
@@ -58,9 +58,9 @@
 	return homes
 }
 
-// Reassign is what must change of the slots so that the places hold them, each with so many homes at most. The homes of the
-// last epoch that was complete stay named until the new ones have everything.
-func Reassign(slots []SlotState, most int, places []Place) (changed []SlotState) {
+// Reassign lists the changes after which the places hold all shards, each with at most a number of replicas. The replicas
+// of the last complete epoch stay named until the new ones are filled.
+func Reassign(slots []ShardState, most int, places []Place) (changed []ShardState) {
 	for i := range slots {
 		s := slots[i]
 		homes := Homes(i, most, places)
@@ -71,7 +71,7 @@
 		if len(from) == 0 {
 			from = s.Homes
 		}
-		changed = append(changed, SlotState{Slot: i, Homes: homes, From: from})
+		changed = append(changed, ShardState{Slot: i, Homes: homes, From: from})
 	}
 	return changed
 }
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -368,11 +368,11 @@
 			places = append(places, claims.Place{ID: id, Name: d.Name, Machine: d.Machine, Site: d.Site})
 		}
 	}
-	slots := make([]claims.SlotState, fleet.Slots)
+	slots := make([]claims.ShardState, fleet.Slots)
 	any := len(places) > 0
 	for i := range slots {
 		s := f.Slot(i)
-		slots[i] = claims.SlotState{Slot: i, Epoch: s.Epoch, Homes: s.Homes, From: s.From}
+		slots[i] = claims.ShardState{Slot: i, Epoch: s.Epoch, Homes: s.Homes, From: s.From}
 		any = any || len(s.Homes) > 0
 	}
 	if !any {
--- a/internal/program/claims.go
+++ b/internal/program/claims.go
@@ -90,14 +90,14 @@
 			l.end()
 		}
 	}
-	var slots []claims.SlotState
+	var slots []claims.ShardState
 	for _, s := range r.Slots {
 		if s.No < 0 || s.No >= claimsSlots || s.Complete == 0 && len(s.Homes) == 0 {
 			continue
 		}
-		slots = append(slots, claims.SlotState{Slot: s.No, Epoch: s.Epoch, Homes: s.Homes, From: s.From, Complete: s.Complete})
+		slots = append(slots, claims.ShardState{Slot: s.No, Epoch: s.Epoch, Homes: s.Homes, From: s.From, Complete: s.Complete})
 	}
-	x.node.Roll(joined, r.Gone, r.Whole, slots, bootTime())
+	x.node.ApplyMembership(joined, r.Gone, r.Whole, slots, bootTime())
 	x.work()
 }
 
@@ -133,13 +133,13 @@
 		}
 		done(r)
 	}
-	x.node.Want(x.key, claims.Claim{Token: c.Token, Object: uint64(c.Object), Group: c.Group, Request: c.ID, Window: c.Window}, c.Moves, now+(until-loopNow), now)
+	x.node.Request(x.key, claims.Claim{Token: c.Token, Object: uint64(c.Object), Group: c.Group, Request: c.ID, Window: c.Window}, c.Moves, now+(until-loopNow), now)
 	x.work()
 }
 
 // GiveUp implements routing.Claims.
 func (x *claimer) GiveUp(token, id string) {
-	x.node.GiveUp(token, id)
+	x.node.Release(token, id)
 	x.work()
 }
 
