Bound the pause before directors watch again: 8.8 s at 3,500 directors, now 2 s

Cause: the pause before a director reconnects to a lost event stream is spread by 2.5 ms for each director, which at 3,500 directors is up to 8.8 s (found from the constants by the capacity laws). A silent stream is noticed after 3 s and an event counts as delivered after 7 s, so a drain or purge could count before the director had it; with several addresses the membership lease (0.6 s) ran out meanwhile. Lines at fault: retryPause in internal/program/events.go. Change: the spread is bounded by 2 s, and by 200 ms with several addresses, where those who lost one are a part of all. Result: TestThePauseBeforeReconnectingIsBounded fails without the bound (8.77 s, for both) and passes with it; below 800 directors nothing changes for one address.

--- a/internal/program/discovery_test.go
+++ b/internal/program/discovery_test.go
@@ -37,3 +37,37 @@
 		t.Errorf("a single one waits %v", alone)
 	}
 }
+
+// The pause grows with the number of directors only up to a bound: an event must reach 3,500 of them in time, too.
+func TestThePauseBeforeReconnectingIsBounded(t *testing.T) {
+	loop, err := transport.NewLoop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Release()
+	const (
+		directors   = 3500
+		delivered   = 7 * time.Second // after which an event counts as delivered
+		memberUntil = 600 * time.Millisecond
+	)
+	for _, c := range []struct {
+		addresses int
+		noticed   time.Duration
+		within    time.Duration
+	}{
+		{1, watchSilence + watchDial, delivered},
+		{3, watchSilenceMany, memberUntil},
+	} {
+		longest := time.Duration(0)
+		for seed := range directors {
+			f := newDiscovery(loop, nil, make([]netip.AddrPort, c.addresses), directors, uint64(seed))
+			longest = max(longest, f.retryPause())
+		}
+		if c.noticed+longest >= c.within {
+			t.Errorf("%d addresses: noticed after %v, and a pause of up to %v: back after %v", c.addresses, c.noticed, longest, c.within)
+		}
+		if spread := longest - watchRetryMin; spread < c.within/8 {
+			t.Errorf("%d addresses: all come back within %v", c.addresses, spread)
+		}
+	}
+}
--- a/internal/program/events.go
+++ b/internal/program/events.go
@@ -24,6 +24,12 @@
 	watchRetryMax = 500 * time.Millisecond
 	// Connections break for all directors at once; each further director widens the time over which they reconnect.
 	watchRetrySpread = 2500 * time.Microsecond
+	// The spread is bounded, however many directors there are: a silent stream is noticed after watchSilence, a connection takes
+	// up to watchDial, and together with the pause that must stay below the 7 s after which an event counts as delivered.
+	watchRetrySpreadMax = 2 * time.Second
+	// With several addresses those who lost one of them are a part of the directors, and each must be back before its lease, and
+	// the control plane's patience with it, is over.
+	watchRetrySpreadMaxMany = 200 * time.Millisecond
 	// With several addresses, a silent one is left for the next soon enough that a purge still arrives in time.
 	watchPatienceMany = 100 * time.Millisecond
 	watchSilenceMany  = 2 * watchPatienceMany
@@ -125,7 +131,16 @@
 // retryPause is the time to wait before the next connection: half the usual time and a random part of as much again, spread
 // wider the more directors there are, since all lost their connections at the same moment.
 func (f *discovery) retryPause() time.Duration {
-	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+time.Duration(f.directors-1)*watchRetrySpread))
+	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+f.retrySpread()))
+}
+
+// retrySpread is the time over which directors that lost their connections at the same moment spread their reconnects.
+func (f *discovery) retrySpread() time.Duration {
+	most := watchRetrySpreadMax
+	if len(f.addresses) > 1 {
+		most = watchRetrySpreadMaxMany
+	}
+	return min(time.Duration(f.directors-1)*watchRetrySpread, most)
 }
 
 // Opened implements transport.Handler.
