Answer a disk that was taken out of the group at every replica, and have it ask

A replica whose disk was replaced while it was away comes back with an old log, and three places together could leave it in phase "in" for good. serve.go, caller: only the leader answered 410; a follower answered 204 and its raft drops the pre-vote while it has a leader. links.go, greet and greetOne: hellos ended once the replica was in, and the answer was not looked at in phase "meeting". links.go, deliver: only the answer to a raft message was looked at, and a disk that was a learner as far as its log goes never stands for leader, so it sends none. Seen: once the lead is at the spare, which the old disk has never heard of, the test's very message comes ("a disk that was replaced is not told: no copies.out within 30s"); on a loaded machine the lead moves by itself (in one failed trial it moved twice). Ruled out: a leader that the disk knows does answer its pre-vote with 410; a wrong answer 409, which ends the disk's part as well; names of disks, as members that left keep theirs.

That a disk was taken out is final (Driver.Removed), so each replica that knows of it answers 410, whoever leads, to every call, hellos too, but not before the change is whole, as the disk's votes count until then. A replica that is in and has no lease asks all others each 250 ms (POST /v1/copies/member), and the answer 410 to any call ends its part.

--- a/internal/controlplane/replicas/links.go
+++ b/internal/controlplane/replicas/links.go
@@ -123,7 +123,7 @@
 	return out, nil
 }
 
-// deliver makes one call. What is lost is told to the driver, and so is the group's word that this copy is not wanted.
+// deliver makes one call. What is lost is reported to the driver, and so is that another start of the program has this disk.
 func (l *peer) deliver(body []byte, to uint64) {
 	g := l.group
 	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
@@ -140,7 +140,7 @@
 		case <-g.stop:
 		case <-time.After(linkPause):
 		}
-	case status == http.StatusConflict || status == http.StatusGone:
+	case status == http.StatusConflict:
 		why := string(bytes.TrimSpace(answer))
 		g.post(func() {
 			if g.phase == In {
@@ -150,7 +150,8 @@
 	}
 }
 
-// call makes a call as this copy; an error means that there is no answer.
+// call makes a call as this copy; an error means that there is no answer. Whatever the call was for, the answer 410 says that the
+// disk was taken out of the group, and ends its part.
 func (g *Group) call(ctx context.Context, url, kind string, body io.Reader, header map[string]string) (status int, answer []byte, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
@@ -175,6 +176,13 @@
 	}
 	defer res.Body.Close()
 	answer, err = io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if res.StatusCode == http.StatusGone {
+		g.post(func() {
+			if g.phase != Out {
+				g.out(string(bytes.TrimSpace(answer)))
+			}
+		})
+	}
 	return res.StatusCode, answer, err
 }
 
@@ -286,20 +294,24 @@
 	Why    string       `json:"why,omitempty"` // it is not let in
 }
 
-// greet presents this disk until it is in.
+// greet presents this disk until it is in. Later it asks the others whether it was taken out, for as long as it has no lease: a
+// disk that was taken out is sent nothing, and may neither stand for leader nor know who leads.
 func (g *Group) greet() {
 	said := ""
 	for {
-		phase := Phase(g.status.Load().Phase)
-		if phase == In || phase == Out {
-			if phase == Out {
-				return
-			}
-		} else if phase != NoDisk {
+		switch Phase(g.status.Load().Phase) {
+		case Out:
+			return
+		case Meeting, Waiting:
 			for _, l := range g.links {
-				l := l
 				go g.greetOne(l, &said)
 			}
+		case In:
+			if !g.Holds() {
+				for _, l := range g.links {
+					go l.askMember()
+				}
+			}
 		}
 		select {
 		case <-g.stop:
@@ -309,6 +321,15 @@
 	}
 }
 
+// askMember asks one other copy whether this disk was taken out; call acts on the answer.
+func (l *peer) askMember() {
+	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+	defer cancel()
+	if _, _, err := l.group.call(ctx, l.url("/v1/copies/member"), "application/octet-stream", nil, nil); err != nil {
+		slog.Debug("copies.not_asked", "copy", l.to.Name, "err", err)
+	}
+}
+
 func (g *Group) greetOne(l *peer, said *string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
 	defer cancel()
--- a/internal/controlplane/replicas/serve.go
+++ b/internal/controlplane/replicas/serve.go
@@ -27,12 +27,16 @@
 	maxSmall    = 1 << 20
 )
 
+// wasRemoved is what a disk that was taken out of the group is answered, with status 410.
+const wasRemoved = "the disk was taken out of the group"
+
 // status is what this copy knows of the group, for those beside the loop.
 type status struct {
 	api.Copies
 	leader     uint64
 	leaderName string
 	members    map[uint64]replica.Member
+	removed    map[uint64]bool // disks that were taken out of the group, for good
 }
 
 // publish makes what the loop knows known to others.
@@ -47,7 +51,7 @@
 	}
 	if g.driver != nil {
 		d := g.driver.State()
-		s.members, s.leader = g.driver.Members(), d.Leader
+		s.members, s.removed, s.leader = g.driver.Members(), map[uint64]bool{}, d.Leader
 		s.leaderName = g.nameOf(d.Leader)
 		s.Leader, s.Leads, s.Term, s.Taken, s.Joint, s.Bears = s.leaderName, g.leads && d.Leads, d.Term, d.Applied, d.Joint, replica.Bears(len(d.Voters))
 		g.mu.Lock()
@@ -55,6 +59,7 @@
 		g.mu.Unlock()
 		for disk, m := range s.members {
 			if m.Left {
+				s.removed[disk] = g.driver.Removed(disk)
 				continue
 			}
 			c := api.CopyStatus{Name: m.Name, Machine: m.Machine, Site: m.Site, Disk: hex(disk), Votes: slices.Contains(d.Voters, disk), Replaces: s.members[m.Replaces].Name}
@@ -102,10 +107,26 @@
 	mux.HandleFunc("POST /v1/copies/whole", g.takeWhole)
 	mux.HandleFunc("POST /v1/copies/hello", g.takeHello)
 	mux.HandleFunc("POST /v1/copies/lease", g.giveLease)
+	mux.HandleFunc("POST /v1/copies/member", g.confirmMember)
 }
 
 // caller reads who calls, and refuses who may not.
 func (g *Group) caller(w http.ResponseWriter, r *http.Request) (disk, run uint64, ok bool) {
+	if disk, run, ok = g.callerOfGroup(w, r); !ok {
+		return 0, 0, false
+	}
+	g.mu.Lock()
+	speaks := g.witness.Speaks(disk, run)
+	g.mu.Unlock()
+	if !speaks {
+		http.Error(w, "another start of the program has presented itself with this disk: this one counts no more", http.StatusConflict)
+		return 0, 0, false
+	}
+	return disk, run, g.checkMember(w, disk)
+}
+
+// callerOfGroup reads which disk and which start of the program call, and refuses those of another group.
+func (g *Group) callerOfGroup(w http.ResponseWriter, r *http.Request) (disk, run uint64, ok bool) {
 	var group uint64
 	for name, to := range map[string]*uint64{groupHeader: &group, diskHeader: &disk, runHeader: &run} {
 		v, err := strconv.ParseUint(r.Header.Get(name), 16, 64)
@@ -119,22 +140,28 @@
 		http.Error(w, "this copy is of another group", http.StatusPreconditionFailed)
 		return 0, 0, false
 	}
-	g.mu.Lock()
-	speaks := g.witness.Speaks(disk, run)
-	g.mu.Unlock()
-	if !speaks {
-		http.Error(w, "another start of the program has presented itself with this disk: this one counts no more", http.StatusConflict)
-		return 0, 0, false
-	}
-	if s := g.status.Load(); s.Leads && s.members != nil {
-		if m, is := s.members[disk]; !is || m.Left {
-			http.Error(w, "the disk was taken out of the group", http.StatusGone)
-			return 0, 0, false
-		}
-	}
 	return disk, run, true
 }
 
+// checkMember answers 410 to a disk that is no member. Any replica knows of a disk that was taken out, whoever leads, for that is
+// final; of a disk that it has never seen only the leader knows that it is none.
+func (g *Group) checkMember(w http.ResponseWriter, disk uint64) (ok bool) {
+	s := g.status.Load()
+	_, known := s.members[disk]
+	if s.removed[disk] || s.Leads && !known {
+		http.Error(w, wasRemoved, http.StatusGone)
+		return false
+	}
+	return true
+}
+
+// confirmMember answers a disk that asks whether it was taken out: 204 if this replica does not know of that, else 410.
+func (g *Group) confirmMember(w http.ResponseWriter, r *http.Request) {
+	if disk, _, ok := g.callerOfGroup(w, r); ok && g.checkMember(w, disk) {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 func (g *Group) takeMessages(w http.ResponseWriter, r *http.Request) {
 	disk, _, ok := g.caller(w, r)
 	if !ok {
@@ -260,6 +287,10 @@
 		return
 	}
 	i, _ := g.store.Identity()
+	if (group == 0 || group == i.Group) && g.status.Load().removed[disk] {
+		http.Error(w, wasRemoved, http.StatusGone)
+		return
+	}
 	answer := Greeting{Group: i.Group}
 	if i.Group != 0 && group == i.Group {
 		g.mu.Lock()
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -349,6 +349,12 @@
 // Members are the copies of the group by disk, and those that have left it. The map must not be changed.
 func (r *Driver) Members() map[uint64]Member { return r.members }
 
+// Removed tells whether a disk was taken out of the group. That is final. While the change that takes it out is half way the
+// disk's votes still count, and it is not removed.
+func (r *Driver) Removed(disk uint64) bool {
+	return r.members[disk].Left && !slices.Contains(r.log.conf.GetVotersOutgoing(), disk)
+}
+
 // Last is the index of the last durable entry.
 func (r *Driver) Last() uint64 { n, _ := r.log.LastIndex(); return n }
 
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -111,14 +111,22 @@
 
 func (v View) alive(disk uint64) bool { return disk == v.State.Disk || v.Progress[disk].Active }
 
+// refuseRemoved refuses a disk that was taken out, which is final: replicas that are behind tell the disk so too.
+func (v View) refuseRemoved(disk uint64) error {
+	if m := v.Members[disk]; m.Left {
+		return refuse("disk %x was taken out of the group: start copy %s with --new-disk, and have that let in", disk, m.Name)
+	}
+	return nil
+}
+
 // Admit decides on a disk that asks to be let in under a name. Without a hand only a disk is let in whose name never had
 // one, or, if replaceAfter allows, a spare in the place of a copy that is gone. gone tells how long, in milliseconds, a copy
 // was not heard of. A nil change without an error means that it is a member already.
 func (v View) Admit(name string, disk uint64, gone map[uint64]int64, replaceAfterMS int64) (*Change, error) {
+	if err := v.refuseRemoved(disk); err != nil {
+		return nil, err
+	}
 	if m, is := v.Members[disk]; is {
-		if m.Left {
-			return nil, refuse("disk %x was taken out of the group: start copy %s with --new-disk, and have that let in", disk, m.Name)
-		}
 		if m.Name != name {
 			return nil, refuse("disk %x is copy %s of this group, not %s", disk, m.Name, name)
 		}
@@ -181,7 +189,10 @@
 // takeOver lets a disk learn that will take another's place; nil if it does already. The machines of all others must differ
 // from its own.
 func (v View) takeOver(p Place, disk, old uint64) (*Change, error) {
-	if m, is := v.Members[disk]; is && !m.Left {
+	if err := v.refuseRemoved(disk); err != nil {
+		return nil, err
+	}
+	if _, is := v.Members[disk]; is {
 		return nil, nil // it was said before
 	}
 	var stale []Step
@@ -267,6 +278,9 @@
 	case disk == 0:
 		return nil, refuse("no disk waits to be let in as copy %s: start it there first", name)
 	}
+	if err := v.refuseRemoved(disk); err != nil {
+		return nil, err
+	}
 	for _, m := range v.Members {
 		if !m.Left && m.Machine == p.Machine {
 			return nil, refuse("copy %s is on machine %s as copy %s is", p.Name, p.Machine, m.Name)
--- a/internal/replica/members_test.go
+++ b/internal/replica/members_test.go
@@ -106,6 +106,10 @@
 	refused("a disk that was taken out", err, "--new-disk")
 	_, err = was.Admit("b", 9, nil, 0)
 	refused("another disk of a name whose disk was taken out", err, "copies add b")
+	_, err = was.Add("b", 2)
+	refused("a disk that was taken out, by hand", err, "--new-disk")
+	_, err = was.Replace("c", "b", 2)
+	refused("a disk that was taken out in another's place, by hand", err, "--new-disk")
 	if c, err := was.Add("b", 9); err != nil || c.Steps[0].Disk != 9 {
 		t.Error(c, err)
 	}
