Count a copy's silence by the leader's own ticks, and anew when it takes the lead

A spare takes the place of a voter from which nothing came for replace-after, and serve.go, admit, took that from the clock. A leader that was itself held up, by its disk or for want of a processor, then works off what waited in any order: if the spare's hello comes first, a copy that is there counts as gone. So it does at a new leader, to which the other followers sent next to nothing before.

Change. replica.Contacts, which reads no clock: silence is counted by the ticks of the leader's loop, of which those missed while it is held up are not made up for, and begins anew when the lead is taken. GoneMS is now this silence, and its comment says so.

--- a/internal/controlplane/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -195,7 +195,7 @@
 	Replaces string `json:"replaces,omitempty"`
 	Behind   uint64 `json:"behind"`   // entries
 	Alive    bool   `json:"alive"`    // as the leader heard
-	GoneMS   int64  `json:"gone_ms"`  // since when the leader has not heard of it
+	GoneMS   int64  `json:"gone_ms"`  // for how long the leader received nothing from it, by the ticks of the leader while it leads
 	Told     int64  `json:"told"`     // up to which its followers have all events
 	LeaseMS  int64  `json:"lease_ms"` // that is left of its lease
 }
--- a/internal/controlplane/replicas/group.go
+++ b/internal/controlplane/replicas/group.go
@@ -97,7 +97,7 @@
 	barriers  map[uint64][]func(error)
 	passed    []replica.Barrier // proven, and not taken over yet
 	candidate *store.Candidate
-	heard     map[uint64]time.Duration
+	contacts  *replica.Contacts
 	names     map[uint64]string // of disks that have sent messages
 	asks      map[string]uint64 // disks that wait to be let in, by name
 	revisions []revisionAt
@@ -136,7 +136,7 @@
 	lease := replica.Lease{Length: set.Lease, Drift: set.Drift}
 	g := &Group{set: set, store: s, run: random64(), inbox: make(chan func(), 1024), stop: make(chan struct{}), ended: make(chan struct{}),
 		links: map[string]*peer{}, witness: replica.NewWitness(), granter: replica.NewGranter(lease), phase: Meeting, seeds: random64(),
-		barriers: map[uint64][]func(error){}, heard: map[uint64]time.Duration{}, names: map[uint64]string{}, asks: map[string]uint64{}, met: map[string]bool{},
+		barriers: map[uint64][]func(error){}, contacts: replica.NewContacts(set.Tick), names: map[uint64]string{}, asks: map[string]uint64{}, met: map[string]bool{},
 		sending: map[uint64]bool{}, sentWhole: map[uint64]time.Duration{}, flush: time.NewTimer(time.Hour)}
 	if g.set.Scheme == "" {
 		g.set.Scheme = "http"
@@ -370,6 +370,9 @@
 		return
 	}
 	g.leads = leads
+	if leads {
+		g.contacts.Lead()
+	}
 	g.mu.Lock()
 	g.granter.Lead(leads, Now())
 	g.mu.Unlock()
@@ -380,6 +383,7 @@
 func (g *Group) tick() {
 	now := Now()
 	g.ticks++
+	g.contacts.Tick()
 	switch g.phase {
 	case Meeting:
 		if now-g.metSince >= meetFor || len(g.met) == len(g.links) {
--- a/internal/controlplane/replicas/removed_test.go
+++ b/internal/controlplane/replicas/removed_test.go
@@ -24,29 +24,44 @@
 const (
 	helloPath  = "/v1/copies/hello"
 	memberPath = "/v1/copies/member"
+
+	groupNumber = 7
 )
 
-// startReplica runs a replica in this process, at a position of the log and with the members there, and serves its calls by handler.
-func startReplica(t *testing.T, self opfile.Copy, list []opfile.Copy, disk, index uint64, conf *pb.ConfState, members map[uint64]replica.Member) (*replicas.Group, http.Handler) {
-	t.Helper()
-	s, err := store.Open(filepath.Join(t.TempDir(), "store.db"), store.Options{Group: true, NoSync: true})
-	check(t, err)
-	first := store.Taken{At: store.Position{Index: index, Term: index}}
-	first.Conf, err = proto.Marshal(conf)
-	check(t, err)
-	first.Members, err = cbor.Marshal(members)
-	check(t, err)
-	check(t, s.Become(store.Identity{Group: 7, Disk: disk, Name: self.Name}, &first))
-	g, err := replicas.New(s, replicas.Settings{
-		Copies:          opfile.Copies{Self: self.Name, List: list, Lease: 200 * time.Millisecond, Drift: 0.02, Tick: 25 * time.Millisecond},
+// settings are those of a replica in this process.
+func settings(self string, list ...opfile.Copy) replicas.Settings {
+	return replicas.Settings{
+		Copies:          opfile.Copies{Self: self, List: list, Lease: 200 * time.Millisecond, Drift: 0.02, Tick: 25 * time.Millisecond},
 		Lead:            func(bool) {},
+		Whole:           func() {},
 		Acknowledged:    func() int64 { return 0 },
 		Heartbeats:      func() api.Heartbeats { return api.Heartbeats{} },
 		TakeHeartbeats:  func(api.Heartbeats) {},
 		Grant:           func([]quota.Renewal) api.LeaseAnswer { return api.LeaseAnswer{} },
 		TakeLeaseAnswer: func(api.LeaseAnswer) {},
 		Within:          func() time.Duration { return 0 },
-	})
+	}
+}
+
+// localReplica is a replica in this process. Its calls are served by calls.
+type localReplica struct {
+	*replicas.Group
+	store *store.Store
+	calls http.Handler
+}
+
+// startReplica runs a replica, at a position of the log and with the members there. Before each write its store calls at.
+func startReplica(t *testing.T, set replicas.Settings, at func(string), disk, index uint64, conf *pb.ConfState, members map[uint64]replica.Member) *localReplica {
+	t.Helper()
+	s, err := store.Open(filepath.Join(t.TempDir(), "store.db"), store.Options{Group: true, NoSync: true, At: at})
+	check(t, err)
+	first := store.Taken{At: store.Position{Index: index, Term: index}}
+	first.Conf, err = proto.Marshal(conf)
+	check(t, err)
+	first.Members, err = cbor.Marshal(members)
+	check(t, err)
+	check(t, s.Become(store.Identity{Group: groupNumber, Disk: disk, Name: set.Self}, &first))
+	g, err := replicas.New(s, set)
 	check(t, err)
 	mux := http.NewServeMux()
 	g.Mount(mux)
@@ -55,7 +70,17 @@
 		g.Stop()
 		check(t, s.Close())
 	})
-	return g, mux
+	return &localReplica{Group: g, store: s, calls: mux}
+}
+
+// awaitPhase waits until a replica is in a phase.
+func awaitPhase(t *testing.T, g *localReplica, phase replicas.Phase) {
+	t.Helper()
+	for end := time.Now().Add(patience); replicas.Phase(g.Status().Phase) != phase; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the replica is %q, not %q", g.Status().Phase, phase)
+		}
+	}
 }
 
 // Disk 2 comes back after it was taken out. The other replica that it reaches knows of that, and is the leader or a follower; the
@@ -94,15 +119,11 @@
 			b := opfile.Copy{Place: replica.Place{Name: "b"}}
 			members := map[uint64]replica.Member{1: {Name: "a"}, 2: {Name: "b"}, 3: {Name: "c"}}
 			after := map[uint64]replica.Member{1: {Name: "a"}, 2: {Name: "b", Left: true}, 3: {Name: "c"}}
-			from, calls := startReplica(t, a, []opfile.Copy{a}, 1, 2, c.other, after)
-			for end := time.Now().Add(patience); replicas.Phase(from.Status().Phase) != replicas.In; time.Sleep(time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatalf("the other replica is %q", from.Status().Phase)
-				}
-			}
-			other = calls
+			from := startReplica(t, settings("a", a), nil, 1, 2, c.other, after)
+			awaitPhase(t, from, replicas.In)
+			other = from.calls
 			close(ready)
-			back, _ := startReplica(t, b, []opfile.Copy{a, b}, 2, 1, c.own, members)
+			back := startReplica(t, settings("b", a, b), nil, 2, 1, c.own, members)
 			want := replicas.Out
 			if c.stays {
 				want = replicas.In
--- a/internal/controlplane/replicas/serve.go
+++ b/internal/controlplane/replicas/serve.go
@@ -69,7 +69,7 @@
 					c.Behind = d.Commit - p.Match
 				}
 				if disk != i.Disk {
-					c.GoneMS = (now - g.heardOf(disk, now)).Milliseconds()
+					c.GoneMS = g.contacts.Silence(disk).Milliseconds()
 				}
 			}
 			if h, is := held[disk]; is {
@@ -86,16 +86,6 @@
 	g.status.Store(s)
 }
 
-// heardOf is when a disk was heard of last; at the latest when this copy first looked.
-func (g *Group) heardOf(disk uint64, now time.Duration) time.Duration {
-	at, is := g.heard[disk]
-	if !is {
-		at = now
-		g.heard[disk] = at
-	}
-	return at
-}
-
 func hex(n uint64) string { return strconv.FormatUint(n, 16) }
 
 // Status is what this copy knows of the group.
@@ -210,7 +200,8 @@
 		if g.driver == nil {
 			return
 		}
-		g.heard[disk], g.names[disk] = Now(), name
+		g.contacts.Received(disk)
+		g.names[disk] = name
 		for _, m := range messages {
 			if m.GetType() == pb.MsgSnap { // it comes with its state alone
 				continue
@@ -304,7 +295,7 @@
 			return
 		}
 		answer.Leads = true
-		g.heard[disk] = Now()
+		g.contacts.Received(disk)
 		answer.Member, answer.Why = g.admit(h.Name, disk)
 	}) {
 		<-done
@@ -315,10 +306,9 @@
 
 // admit decides on a disk that asks to be let in.
 func (g *Group) admit(name string, disk uint64) (member bool, why string) {
-	now := Now()
 	gone := map[uint64]int64{}
 	for d := range g.driver.Members() {
-		gone[d] = (now - g.heardOf(d, now)).Milliseconds()
+		gone[d] = g.contacts.Silence(d).Milliseconds()
 	}
 	c, err := g.view().Admit(name, disk, gone, g.set.ReplaceAfter.Milliseconds())
 	if err == nil && c == nil {
