--- a/internal/controlplane/replicas/links.go
+++ b/internal/controlplane/replicas/links.go
@@ -141,10 +141,10 @@
 		case <-time.After(linkPause):
 		}
 	case status == http.StatusConflict:
-		why := string(bytes.TrimSpace(answer))
+		reason := string(bytes.TrimSpace(answer))
 		g.post(func() {
 			if g.phase == In {
-				g.out(why)
+				g.out(reason)
 			}
 		})
 	}
@@ -279,106 +279,6 @@
 	return length, err
 }
 
-// Hello is how a copy presents its disk to the others.
-type Hello struct {
-	Name string       `json:"name"`
-	Says replica.Seen `json:"says"`
-}
-
-// Greeting is the answer: what was seen of the disk before, and whether it is in the group.
-type Greeting struct {
-	Seen   replica.Seen `json:"seen"`
-	Group  uint64       `json:"group"` // of the copy that answers
-	Leads  bool         `json:"leads"`
-	Member bool         `json:"member"`
-	Why    string       `json:"why,omitempty"` // it is not let in
-}
-
-// greet presents this disk until it is in. Later it asks the others whether it was taken out, for as long as it has no lease: a
-// disk that was taken out is sent nothing, and may neither stand for leader nor know who leads.
-func (g *Group) greet() {
-	said := ""
-	for {
-		switch Phase(g.status.Load().Phase) {
-		case Out:
-			return
-		case Meeting, Waiting:
-			for _, l := range g.links {
-				go g.greetOne(l, &said)
-			}
-		case In:
-			if !g.Holds() {
-				for _, l := range g.links {
-					go l.askMember()
-				}
-			}
-		}
-		select {
-		case <-g.stop:
-			return
-		case <-time.After(greetEvery):
-		}
-	}
-}
-
-// askMember asks one other copy whether this disk was taken out; call acts on the answer.
-func (l *peer) askMember() {
-	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
-	defer cancel()
-	if _, _, err := l.group.call(ctx, l.url("/v1/copies/member"), "application/octet-stream", nil, nil); err != nil {
-		slog.Debug("copies.not_asked", "copy", l.to.Name, "err", err)
-	}
-}
-
-func (g *Group) greetOne(l *peer, said *string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
-	defer cancel()
-	says, ok := replica.Seen{}, true
-	asked := make(chan struct{})
-	if !g.post(func() {
-		defer close(asked)
-		p, err := g.store.Promises()
-		if ok = err == nil; ok {
-			says = replica.Seen{Term: p.Term, Vote: p.Vote, Last: p.Before.Index + uint64(len(p.Entries))}
-		}
-	}) {
-		return
-	}
-	<-asked
-	if !ok {
-		return
-	}
-	var answer Greeting
-	if err := g.ask(ctx, l.url("/v1/copies/hello"), Hello{Name: g.set.Self, Says: says}, &answer); err != nil {
-		return
-	}
-	g.post(func() {
-		i, _ := g.store.Identity()
-		switch {
-		case g.phase == Meeting:
-			if answer.Group == i.Group {
-				if err := says.Contradicts(answer.Seen); err != nil {
-					g.out("the disk came back in an older state, as copy " + l.to.Name + " knows: " + err.Error())
-					return
-				}
-			}
-			g.met[l.to.Name] = true
-		case g.phase == Waiting && answer.Leads && answer.Member && answer.Group != 0:
-			if err := g.store.Join(answer.Group); err != nil {
-				slog.Error("copies.not_joined", "err", err)
-				return
-			}
-			slog.Info("copies.let_in", "copy", g.set.Self, "by", l.to.Name)
-			g.begin()
-		case g.phase == Waiting && answer.Leads && answer.Why != "" && answer.Why != *said:
-			*said = answer.Why
-			slog.Warn("copies.not_let_in", "copy", g.set.Self, "why", answer.Why)
-			g.why = answer.Why
-			g.publish()
-		}
-	})
-}
-
 // lease keeps the lease under which this copy holds followers.
 func (g *Group) lease() {
 	every := g.set.Lease / 4
--- a/internal/controlplane/replicas/serve.go
+++ b/internal/controlplane/replicas/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -27,9 +26,6 @@
 	maxSmall    = 1 << 20
 )
 
-// wasRemoved is what a disk that was taken out of the group is answered, with status 410.
-const wasRemoved = "the disk was taken out of the group"
-
 // status is what this copy knows of the group, for those beside the loop.
 type status struct {
 	api.Copies
@@ -41,43 +37,15 @@
 
 // publish makes what the loop knows known to others.
 func (g *Group) publish() {
-	i, _ := g.store.Identity()
-	now := Now()
-	s := &status{Copies: api.Copies{Copy: g.set.Self, Disk: hex(i.Disk), Phase: string(g.phase), Why: g.why, Revision: g.store.Fleet().Revision}}
-	for _, c := range g.set.List {
-		if !c.Spare {
+	identity, _ := g.store.Identity()
+	s := &status{Copies: api.Copies{Copy: g.set.Self, Disk: hex(identity.Disk), Phase: string(g.phase), Why: g.why, Revision: g.store.Fleet().Revision}}
+	for _, place := range g.set.List {
+		if !place.Spare {
 			s.Listed++
 		}
 	}
 	if g.driver != nil {
-		d := g.driver.State()
-		s.members, s.removed, s.leader = g.driver.Members(), map[uint64]bool{}, d.Leader
-		s.leaderName = g.nameOf(d.Leader)
-		s.Leader, s.Leads, s.Term, s.Taken, s.Joint, s.Bears = s.leaderName, g.leads && d.Leads, d.Term, d.Applied, d.Joint, replica.Bears(len(d.Voters))
-		g.mu.Lock()
-		held := g.granter.Held(now)
-		g.mu.Unlock()
-		for disk, m := range s.members {
-			if m.Left {
-				s.removed[disk] = g.driver.Removed(disk)
-				continue
-			}
-			c := api.CopyStatus{Name: m.Name, Machine: m.Machine, Site: m.Site, Disk: hex(disk), Votes: slices.Contains(d.Voters, disk), Replaces: s.members[m.Replaces].Name}
-			if p, is := d.Progress[disk]; is {
-				c.Alive = p.Active
-				if c.Behind = 0; p.Match < d.Commit {
-					c.Behind = d.Commit - p.Match
-				}
-				if disk != i.Disk {
-					c.GoneMS = g.contacts.Silence(disk).Milliseconds()
-				}
-			}
-			if h, is := held[disk]; is {
-				c.Told, c.LeaseMS = h.Told, h.Left.Milliseconds()
-			}
-			s.List = append(s.List, c)
-		}
-		slices.SortFunc(s.List, func(a, b api.CopyStatus) int { return strings.Compare(a.Name+a.Disk, b.Name+b.Disk) })
+		g.publishMembers(s)
 	}
 	for name := range g.asks {
 		s.Waits = append(s.Waits, name)
@@ -86,6 +54,38 @@
 	g.status.Store(s)
 }
 
+// publishMembers fills in what the driver knows of the group.
+func (g *Group) publishMembers(s *status) {
+	state := g.driver.State()
+	s.members, s.removed, s.leader = g.driver.Members(), map[uint64]bool{}, state.Leader
+	s.leaderName = g.nameOf(state.Leader)
+	s.Leader, s.Leads, s.Term, s.Taken, s.Joint, s.Bears = s.leaderName, g.leads && state.Leads, state.Term, state.Applied, state.Joint, replica.Bears(len(state.Voters))
+	g.mu.Lock()
+	leases := g.granter.Held(Now())
+	g.mu.Unlock()
+	for disk, member := range s.members {
+		if member.Left {
+			s.removed[disk] = g.driver.Removed(disk)
+			continue
+		}
+		c := api.CopyStatus{Name: member.Name, Machine: member.Machine, Site: member.Site, Disk: hex(disk), Votes: slices.Contains(state.Voters, disk), Replaces: s.members[member.Replaces].Name}
+		if progress, known := state.Progress[disk]; known {
+			c.Alive = progress.Active
+			if progress.Match < state.Commit {
+				c.Behind = state.Commit - progress.Match
+			}
+			if disk != state.Disk {
+				c.GoneMS = g.contacts.Silence(disk).Milliseconds()
+			}
+		}
+		if lease, held := leases[disk]; held {
+			c.Told, c.LeaseMS = lease.Told, lease.Left.Milliseconds()
+		}
+		s.List = append(s.List, c)
+	}
+	slices.SortFunc(s.List, func(a, b api.CopyStatus) int { return strings.Compare(a.Name+a.Disk, b.Name+b.Disk) })
+}
+
 func hex(n uint64) string { return strconv.FormatUint(n, 16) }
 
 // Status is what this copy knows of the group.
@@ -145,13 +145,6 @@
 	return true
 }
 
-// confirmMember answers a disk that asks whether it was taken out: 204 if this replica does not know of that, else 410.
-func (g *Group) confirmMember(w http.ResponseWriter, r *http.Request) {
-	if disk, _, ok := g.callerOfGroup(w, r); ok && g.checkMember(w, disk) {
-		w.WriteHeader(http.StatusNoContent)
-	}
-}
-
 func (g *Group) takeMessages(w http.ResponseWriter, r *http.Request) {
 	disk, _, ok := g.caller(w, r)
 	if !ok {
@@ -263,73 +256,6 @@
 	}
 }
 
-// takeHello answers a disk that presents itself, and lets it in if this copy leads and may.
-func (g *Group) takeHello(w http.ResponseWriter, r *http.Request) {
-	var h Hello
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmall)).Decode(&h); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	disk, err := strconv.ParseUint(r.Header.Get(diskHeader), 16, 64)
-	run, err2 := strconv.ParseUint(r.Header.Get(runHeader), 16, 64)
-	group, err3 := strconv.ParseUint(r.Header.Get(groupHeader), 16, 64)
-	if err := errors.Join(err, err2, err3); err != nil || disk == 0 {
-		http.Error(w, fmt.Sprintf("this is for copies: %v", err), http.StatusBadRequest)
-		return
-	}
-	i, _ := g.store.Identity()
-	if (group == 0 || group == i.Group) && g.status.Load().removed[disk] {
-		http.Error(w, wasRemoved, http.StatusGone)
-		return
-	}
-	answer := Greeting{Group: i.Group}
-	if i.Group != 0 && group == i.Group {
-		g.mu.Lock()
-		answer.Seen = g.witness.Greet(disk, run, h.Says)
-		g.mu.Unlock()
-	}
-	done := make(chan struct{})
-	if g.post(func() {
-		defer close(done)
-		if g.driver == nil || !g.leads || group != 0 && group != i.Group {
-			return
-		}
-		answer.Leads = true
-		g.contacts.Received(disk)
-		answer.Member, answer.Why = g.admit(h.Name, disk)
-	}) {
-		<-done
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-// admit decides on a disk that asks to be let in.
-func (g *Group) admit(name string, disk uint64) (member bool, why string) {
-	gone := map[uint64]int64{}
-	for d := range g.driver.Members() {
-		gone[d] = g.contacts.Silence(d).Milliseconds()
-	}
-	c, err := g.view().Admit(name, disk, gone, g.set.ReplaceAfter.Milliseconds())
-	if err == nil && c == nil {
-		return true, ""
-	}
-	if g.asks[name] != disk {
-		g.asks[name] = disk
-		g.publish()
-	}
-	if err == nil {
-		if err = g.driver.Change(*c); err == nil {
-			slog.Info("copies.change", "change", describe(c))
-			return false, ""
-		}
-		if errors.Is(err, replica.ErrBusy) {
-			return false, ""
-		}
-	}
-	return false, err.Error()
-}
-
 func describe(c *replica.Change) string {
 	var all []string
 	for _, s := range c.Steps {
