--- a/internal/controlplane/replicas/links.go
+++ b/internal/controlplane/replicas/links.go
@@ -123,7 +123,7 @@
 	return out, nil
 }
 
-// deliver makes one call. What is lost is told to the driver, and so is the group's word that this copy is not wanted.
+// deliver makes one call. What is lost is reported to the driver, and so is that another start of the program has this disk.
 func (l *peer) deliver(body []byte, to uint64) {
 	g := l.group
 	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
@@ -140,17 +140,18 @@
 		case <-g.stop:
 		case <-time.After(linkPause):
 		}
-	case status == http.StatusConflict || status == http.StatusGone:
-		why := string(bytes.TrimSpace(answer))
+	case status == http.StatusConflict:
+		reason := string(bytes.TrimSpace(answer))
 		g.post(func() {
 			if g.phase == In {
-				g.out(why)
+				g.out(reason)
 			}
 		})
 	}
 }
 
-// call makes a call as this copy; an error means that there is no answer.
+// call makes a call as this copy; an error means that there is no answer. Whatever the call was for, the answer 410 says that the
+// disk was taken out of the group, and ends its part.
 func (g *Group) call(ctx context.Context, url, kind string, body io.Reader, header map[string]string) (status int, answer []byte, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
@@ -175,6 +176,13 @@
 	}
 	defer res.Body.Close()
 	answer, err = io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if res.StatusCode == http.StatusGone {
+		g.post(func() {
+			if g.phase != Out {
+				g.out(string(bytes.TrimSpace(answer)))
+			}
+		})
+	}
 	return res.StatusCode, answer, err
 }
 
@@ -271,93 +279,6 @@
 	return length, err
 }
 
-// Hello is how a copy presents its disk to the others.
-type Hello struct {
-	Name string       `json:"name"`
-	Says replica.Seen `json:"says"`
-}
-
-// Greeting is the answer: what was seen of the disk before, and whether it is in the group.
-type Greeting struct {
-	Seen   replica.Seen `json:"seen"`
-	Group  uint64       `json:"group"` // of the copy that answers
-	Leads  bool         `json:"leads"`
-	Member bool         `json:"member"`
-	Why    string       `json:"why,omitempty"` // it is not let in
-}
-
-// greet presents this disk until it is in.
-func (g *Group) greet() {
-	said := ""
-	for {
-		phase := Phase(g.status.Load().Phase)
-		if phase == In || phase == Out {
-			if phase == Out {
-				return
-			}
-		} else if phase != NoDisk {
-			for _, l := range g.links {
-				l := l
-				go g.greetOne(l, &said)
-			}
-		}
-		select {
-		case <-g.stop:
-			return
-		case <-time.After(greetEvery):
-		}
-	}
-}
-
-func (g *Group) greetOne(l *peer, said *string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
-	defer cancel()
-	says, ok := replica.Seen{}, true
-	asked := make(chan struct{})
-	if !g.post(func() {
-		defer close(asked)
-		p, err := g.store.Promises()
-		if ok = err == nil; ok {
-			says = replica.Seen{Term: p.Term, Vote: p.Vote, Last: p.Before.Index + uint64(len(p.Entries))}
-		}
-	}) {
-		return
-	}
-	<-asked
-	if !ok {
-		return
-	}
-	var answer Greeting
-	if err := g.ask(ctx, l.url("/v1/copies/hello"), Hello{Name: g.set.Self, Says: says}, &answer); err != nil {
-		return
-	}
-	g.post(func() {
-		i, _ := g.store.Identity()
-		switch {
-		case g.phase == Meeting:
-			if answer.Group == i.Group {
-				if err := says.Contradicts(answer.Seen); err != nil {
-					g.out("the disk came back in an older state, as copy " + l.to.Name + " knows: " + err.Error())
-					return
-				}
-			}
-			g.met[l.to.Name] = true
-		case g.phase == Waiting && answer.Leads && answer.Member && answer.Group != 0:
-			if err := g.store.Join(answer.Group); err != nil {
-				slog.Error("copies.not_joined", "err", err)
-				return
-			}
-			slog.Info("copies.let_in", "copy", g.set.Self, "by", l.to.Name)
-			g.begin()
-		case g.phase == Waiting && answer.Leads && answer.Why != "" && answer.Why != *said:
-			*said = answer.Why
-			slog.Warn("copies.not_let_in", "copy", g.set.Self, "why", answer.Why)
-			g.why = answer.Why
-			g.publish()
-		}
-	})
-}
-
 // lease keeps the lease under which this copy holds followers.
 func (g *Group) lease() {
 	every := g.set.Lease / 4
--- a/internal/controlplane/replicas/serve.go
+++ b/internal/controlplane/replicas/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,46 +32,20 @@
 	leader     uint64
 	leaderName string
 	members    map[uint64]replica.Member
+	removed    map[uint64]bool // disks that were taken out of the group, for good
 }
 
 // publish makes what the loop knows known to others.
 func (g *Group) publish() {
-	i, _ := g.store.Identity()
-	now := Now()
-	s := &status{Copies: api.Copies{Copy: g.set.Self, Disk: hex(i.Disk), Phase: string(g.phase), Why: g.why, Revision: g.store.Fleet().Revision}}
-	for _, c := range g.set.List {
-		if !c.Spare {
+	identity, _ := g.store.Identity()
+	s := &status{Copies: api.Copies{Copy: g.set.Self, Disk: hex(identity.Disk), Phase: string(g.phase), Why: g.why, Revision: g.store.Fleet().Revision}}
+	for _, place := range g.set.List {
+		if !place.Spare {
 			s.Listed++
 		}
 	}
 	if g.driver != nil {
-		d := g.driver.State()
-		s.members, s.leader = g.driver.Members(), d.Leader
-		s.leaderName = g.nameOf(d.Leader)
-		s.Leader, s.Leads, s.Term, s.Taken, s.Joint, s.Bears = s.leaderName, g.leads && d.Leads, d.Term, d.Applied, d.Joint, replica.Bears(len(d.Voters))
-		g.mu.Lock()
-		held := g.granter.Held(now)
-		g.mu.Unlock()
-		for disk, m := range s.members {
-			if m.Left {
-				continue
-			}
-			c := api.CopyStatus{Name: m.Name, Machine: m.Machine, Site: m.Site, Disk: hex(disk), Votes: slices.Contains(d.Voters, disk), Replaces: s.members[m.Replaces].Name}
-			if p, is := d.Progress[disk]; is {
-				c.Alive = p.Active
-				if c.Behind = 0; p.Match < d.Commit {
-					c.Behind = d.Commit - p.Match
-				}
-				if disk != i.Disk {
-					c.GoneMS = (now - g.heardOf(disk, now)).Milliseconds()
-				}
-			}
-			if h, is := held[disk]; is {
-				c.Told, c.LeaseMS = h.Told, h.Left.Milliseconds()
-			}
-			s.List = append(s.List, c)
-		}
-		slices.SortFunc(s.List, func(a, b api.CopyStatus) int { return strings.Compare(a.Name+a.Disk, b.Name+b.Disk) })
+		g.publishMembers(s)
 	}
 	for name := range g.asks {
 		s.Waits = append(s.Waits, name)
@@ -81,14 +54,36 @@
 	g.status.Store(s)
 }
 
-// heardOf is when a disk was heard of last; at the latest when this copy first looked.
-func (g *Group) heardOf(disk uint64, now time.Duration) time.Duration {
-	at, is := g.heard[disk]
-	if !is {
-		at = now
-		g.heard[disk] = at
+// publishMembers fills in what the driver knows of the group.
+func (g *Group) publishMembers(s *status) {
+	state := g.driver.State()
+	s.members, s.removed, s.leader = g.driver.Members(), map[uint64]bool{}, state.Leader
+	s.leaderName = g.nameOf(state.Leader)
+	s.Leader, s.Leads, s.Term, s.Taken, s.Joint, s.Bears = s.leaderName, g.leads && state.Leads, state.Term, state.Applied, state.Joint, replica.Bears(len(state.Voters))
+	g.mu.Lock()
+	leases := g.granter.Held(Now())
+	g.mu.Unlock()
+	for disk, member := range s.members {
+		if member.Left {
+			s.removed[disk] = g.driver.Removed(disk)
+			continue
+		}
+		c := api.CopyStatus{Name: member.Name, Machine: member.Machine, Site: member.Site, Disk: hex(disk), Votes: slices.Contains(state.Voters, disk), Replaces: s.members[member.Replaces].Name}
+		if progress, known := state.Progress[disk]; known {
+			c.Alive = progress.Active
+			if progress.Match < state.Commit {
+				c.Behind = state.Commit - progress.Match
+			}
+			if disk != state.Disk {
+				c.GoneMS = g.contacts.Silence(disk).Milliseconds()
+			}
+		}
+		if lease, held := leases[disk]; held {
+			c.Told, c.LeaseMS = lease.Told, lease.Left.Milliseconds()
+		}
+		s.List = append(s.List, c)
 	}
-	return at
+	slices.SortFunc(s.List, func(a, b api.CopyStatus) int { return strings.Compare(a.Name+a.Disk, b.Name+b.Disk) })
 }
 
 func hex(n uint64) string { return strconv.FormatUint(n, 16) }
@@ -102,10 +97,26 @@
 	mux.HandleFunc("POST /v1/copies/whole", g.takeWhole)
 	mux.HandleFunc("POST /v1/copies/hello", g.takeHello)
 	mux.HandleFunc("POST /v1/copies/lease", g.giveLease)
+	mux.HandleFunc("POST /v1/copies/member", g.confirmMember)
 }
 
 // caller reads who calls, and refuses who may not.
 func (g *Group) caller(w http.ResponseWriter, r *http.Request) (disk, run uint64, ok bool) {
+	if disk, run, ok = g.callerOfGroup(w, r); !ok {
+		return 0, 0, false
+	}
+	g.mu.Lock()
+	speaks := g.witness.Speaks(disk, run)
+	g.mu.Unlock()
+	if !speaks {
+		http.Error(w, "another start of the program has presented itself with this disk: this one counts no more", http.StatusConflict)
+		return 0, 0, false
+	}
+	return disk, run, g.checkMember(w, disk)
+}
+
+// callerOfGroup reads which disk and which start of the program call, and refuses those of another group.
+func (g *Group) callerOfGroup(w http.ResponseWriter, r *http.Request) (disk, run uint64, ok bool) {
 	var group uint64
 	for name, to := range map[string]*uint64{groupHeader: &group, diskHeader: &disk, runHeader: &run} {
 		v, err := strconv.ParseUint(r.Header.Get(name), 16, 64)
@@ -119,22 +130,21 @@
 		http.Error(w, "this copy is of another group", http.StatusPreconditionFailed)
 		return 0, 0, false
 	}
-	g.mu.Lock()
-	speaks := g.witness.Speaks(disk, run)
-	g.mu.Unlock()
-	if !speaks {
-		http.Error(w, "another start of the program has presented itself with this disk: this one counts no more", http.StatusConflict)
-		return 0, 0, false
-	}
-	if s := g.status.Load(); s.Leads && s.members != nil {
-		if m, is := s.members[disk]; !is || m.Left {
-			http.Error(w, "the disk was taken out of the group", http.StatusGone)
-			return 0, 0, false
-		}
-	}
 	return disk, run, true
 }
 
+// checkMember answers 410 to a disk that is no member. Any replica knows of a disk that was taken out, whoever leads, for that is
+// final; of a disk that it has never seen only the leader knows that it is none.
+func (g *Group) checkMember(w http.ResponseWriter, disk uint64) (ok bool) {
+	s := g.status.Load()
+	_, known := s.members[disk]
+	if s.removed[disk] || s.Leads && !known {
+		http.Error(w, wasRemoved, http.StatusGone)
+		return false
+	}
+	return true
+}
+
 func (g *Group) takeMessages(w http.ResponseWriter, r *http.Request) {
 	disk, _, ok := g.caller(w, r)
 	if !ok {
@@ -183,7 +193,8 @@
 		if g.driver == nil {
 			return
 		}
-		g.heard[disk], g.names[disk] = Now(), name
+		g.contacts.Received(disk)
+		g.names[disk] = name
 		for _, m := range messages {
 			if m.GetType() == pb.MsgSnap { // it comes with its state alone
 				continue
@@ -245,70 +256,6 @@
 	}
 }
 
-// takeHello answers a disk that presents itself, and lets it in if this copy leads and may.
-func (g *Group) takeHello(w http.ResponseWriter, r *http.Request) {
-	var h Hello
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmall)).Decode(&h); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	disk, err := strconv.ParseUint(r.Header.Get(diskHeader), 16, 64)
-	run, err2 := strconv.ParseUint(r.Header.Get(runHeader), 16, 64)
-	group, err3 := strconv.ParseUint(r.Header.Get(groupHeader), 16, 64)
-	if err := errors.Join(err, err2, err3); err != nil || disk == 0 {
-		http.Error(w, fmt.Sprintf("this is for copies: %v", err), http.StatusBadRequest)
-		return
-	}
-	i, _ := g.store.Identity()
-	answer := Greeting{Group: i.Group}
-	if i.Group != 0 && group == i.Group {
-		g.mu.Lock()
-		answer.Seen = g.witness.Greet(disk, run, h.Says)
-		g.mu.Unlock()
-	}
-	done := make(chan struct{})
-	if g.post(func() {
-		defer close(done)
-		if g.driver == nil || !g.leads || group != 0 && group != i.Group {
-			return
-		}
-		answer.Leads = true
-		g.heard[disk] = Now()
-		answer.Member, answer.Why = g.admit(h.Name, disk)
-	}) {
-		<-done
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-// admit decides on a disk that asks to be let in.
-func (g *Group) admit(name string, disk uint64) (member bool, why string) {
-	now := Now()
-	gone := map[uint64]int64{}
-	for d := range g.driver.Members() {
-		gone[d] = (now - g.heardOf(d, now)).Milliseconds()
-	}
-	c, err := g.view().Admit(name, disk, gone, g.set.ReplaceAfter.Milliseconds())
-	if err == nil && c == nil {
-		return true, ""
-	}
-	if g.asks[name] != disk {
-		g.asks[name] = disk
-		g.publish()
-	}
-	if err == nil {
-		if err = g.driver.Change(*c); err == nil {
-			slog.Info("copies.change", "change", describe(c))
-			return false, ""
-		}
-		if errors.Is(err, replica.ErrBusy) {
-			return false, ""
-		}
-	}
-	return false, err.Error()
-}
-
 func describe(c *replica.Change) string {
 	var all []string
 	for _, s := range c.Steps {
