Keep the mark of a copied store apart from what a whole state replaces

Store.Adopt replaces the store's group part as a whole, on the loop, while Store.Identity reads "copied" from that part on other goroutines: each call to another replica asks for the identity. The race detector named Adopt (group.go) and Identity, from renew, in 2 of 9 runs of TestSilenceCountsOnlyWhileTheLeaderIsThere.

"copied" is an atomic of the store, beside the identity, and is set where it was before.

The tests of store and all of replicas once: pass (the five measurements skip themselves); TestSpareTakesThePlaceOfALostCopy 3 of 3 more.

--- a/internal/controlplane/store/group.go
+++ b/internal/controlplane/store/group.go
@@ -70,7 +70,6 @@
 
 // group is the copy's part of a store. It is used by the one who drives the group alone.
 type group struct {
-	copied  bool // the file is a copy of another disk's
 	taken   Taken
 	last    uint64 // index of the last entry in the file
 	pending []pair // accepted and not in the file
@@ -136,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	s.group.copied = own.Inode != inode || own.BornNS != 0 && born != 0 && own.BornNS != born
+	s.copied.Store(own.Inode != inode || own.BornNS != 0 && born != 0 && own.BornNS != born)
 	return nil
 }
 
@@ -154,7 +153,7 @@
 
 // Identity is what the disk is; the zero Identity for a store that was never a copy. copied tells that the file is not the
 // one that the disk's program made.
-func (s *Store) Identity() (i Identity, copied bool) { return *s.identity.Load(), s.group.copied }
+func (s *Store) Identity() (i Identity, copied bool) { return *s.identity.Load(), s.copied.Load() }
 
 // Gone tells that the file is no longer where it was, or is another: what is written then is lost with the process.
 func (s *Store) Gone() bool {
@@ -543,6 +542,7 @@
 	old := s.db
 	s.db, s.snapped, s.first, s.tail = in.db, in.snapped, in.first, in.tail
 	s.group = group{taken: in.group.taken}
+	s.copied.Store(false)
 	s.identity.Store(&i)
 	s.over.Store(nil)
 	s.state.Store(in.state.Load())
@@ -566,7 +566,7 @@
 		return err
 	}
 	if err = s.db.Update(func(tx *bolt.Tx) error { return putValue(tx, identityKey, i) }); err == nil {
-		s.group.copied = false
+		s.copied.Store(false)
 		s.identity.Store(&i)
 	}
 	return err
--- a/internal/controlplane/store/store.go
+++ b/internal/controlplane/store/store.go
@@ -90,6 +90,7 @@
 	over      atomic.Pointer[layer] // what the group has accepted and the file does not hold yet
 	group     group
 	identity  atomic.Pointer[Identity]
+	copied    atomic.Bool // the file is a copy of another disk's
 	receiving sync.Mutex
 	snapped   int64 // revision of the last snapshot
 	first     int64 // number of the first kept event; revision + 1 if there is none
