--- a/internal/controlplane/store/transfer.go
+++ b/internal/controlplane/store/transfer.go
@@ -133,6 +133,7 @@
 	old := s.db
 	s.db, s.snapped, s.first, s.tail = in.db, in.snapped, in.first, in.tail
 	s.group = group{taken: in.group.taken}
+	s.copied.Store(false)
 	s.identity.Store(&i)
 	s.over.Store(nil)
 	s.state.Store(in.state.Load())
