Add hollow directors: many simulated directors in one process

How the control plane fares beside thousands of directors can't be seen with real ones on one machine: a real director is a process of its own with caches and clients.

Package hollow speaks the director's side of the watch protocol from one loop, with the director's timing, announcements and quota renewals, and leaves out what a director does with what it learns.

--- /dev/null
+++ b/internal/scale/hollow/director.go
@@ -0,0 +1,240 @@
+package hollow
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"time"
+
+	"stairvane.org/stairvane/internal/program"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/transport"
+)
+
+var errSilent = errors.New("no answer in time")
+
+// director is one simulated director: a connection with one long poll at a time. It implements transport.Handler.
+type director struct {
+	process *Process
+	number  int
+	own     bulletin.Director
+	at      int // place of the server among the addresses
+	tried   int // addresses since the last answer
+	conn    *transport.Conn
+	timer   transport.Timer
+	retry   time.Duration
+	random  *mathrand.Rand
+	last    int64 // number of the last event that was taken in
+	roll    int64 // number of the last event of the membership
+	renewer *quota.Holder
+	demands []float64 // mean demands, by cold cache
+	request []byte
+
+	answers  int64         // since it began: purges of the first one are from before it
+	answered time.Duration // when it was answered last
+	silence  time.Duration // longest in the window
+}
+
+func newDirector(p *Process, number int, demands []float64) *director {
+	d := &director{
+		process: p,
+		number:  number,
+		at:      number % len(p.set.Addresses),
+		random:  mathrand.New(mathrand.NewPCG(p.set.Seed, uint64(number))),
+		demands: demands,
+	}
+	d.timer.Fire = d.overdue
+	d.begin()
+	return d
+}
+
+// begin makes the director a new process of its name, which knows nothing.
+func (d *director) begin() {
+	d.own = bulletin.Director{
+		Name:        fmt.Sprintf("hollow-%05d", d.number),
+		Incarnation: rand.Text(),
+		Location:    fmt.Sprintf("zone-%02d", d.number%zones),
+		Machine:     fmt.Sprintf("machine-%05d", d.number),
+		Site:        fmt.Sprintf("site-%03d", d.number%sites),
+		Version:     "0123456789ab",
+	}
+	d.last, d.roll, d.answers = 0, 0, 0
+	d.retry = watchRetryMin
+	d.renewer = quota.NewHolder(d.own.ID(), program.Turns)
+}
+
+// restart stops the director without a word and starts it anew.
+func (d *director) restart() {
+	d.process.stopped = append(d.process.stopped, d.own.ID())
+	d.close()
+	d.begin()
+	d.connect()
+}
+
+func (d *director) close() {
+	d.timer.Stop()
+	if d.conn != nil {
+		d.conn.Close()
+		d.conn = nil
+	}
+}
+
+// overdue ends a call that is not answered, or a pause before the next connection.
+func (d *director) overdue() {
+	if d.conn != nil {
+		d.lost(errSilent)
+		return
+	}
+	d.connect()
+}
+
+func (d *director) connect() {
+	d.timer.Stop()
+	within := watchDial
+	if len(d.process.set.Addresses) > 1 {
+		within = watchDialMany
+	}
+	conn, err := d.process.loop.Dial(d.process.set.Addresses[d.at], within, d)
+	if err != nil {
+		d.lost(err)
+		return
+	}
+	d.conn = conn
+}
+
+// lost goes on at the next address after a pause, as internal/program/discovery.go does.
+func (d *director) lost(err error) {
+	d.close()
+	d.process.count.ended++
+	d.process.count.reasons[err.Error()]++
+	spread := time.Duration(d.process.set.Total-1) * watchSpread
+	pause := d.retry/2 + time.Duration(d.random.Float64()*float64(d.retry+spread))
+	d.process.loop.Set(&d.timer, d.process.loop.Now()+pause)
+	addresses := len(d.process.set.Addresses)
+	d.at = (d.at + 1) % addresses
+	d.tried++
+	if d.tried%addresses != 0 {
+		return
+	}
+	most := watchRetryMax
+	if addresses > 1 {
+		most = watchRetryMany
+	}
+	d.retry = min(2*d.retry, most)
+}
+
+// Opened implements transport.Handler.
+func (d *director) Opened() { d.poll() }
+
+// Flushed implements transport.Handler.
+func (d *director) Flushed() {}
+
+// Closed implements transport.Handler.
+func (d *director) Closed(err error) {
+	d.conn = nil
+	d.lost(err)
+}
+
+func (d *director) poll() {
+	address := d.process.set.Addresses[d.at].String()
+	d.request = bulletin.AppendRequest(d.request[:0], address, d.last, watchPatience.Milliseconds(), d.announcement())
+	traffic := &d.process.count.traffic[d.at]
+	traffic.Requests++
+	traffic.BytesUp += int64(len(d.request))
+	d.conn.Write(d.request)
+	d.process.loop.Set(&d.timer, d.process.loop.Now()+watchSilence)
+}
+
+// announcement is the director's header: who it is, and its quota renewal with the demands of this moment.
+func (d *director) announcement() []byte {
+	for cache, mean := range d.demands {
+		demand := max(LeastDemand, mean*(1+demandVaries*(2*d.random.Float64()-1)))
+		d.renewer.Want(quota.Want{Limit: limitName(cache), Kind: quota.Rate, Demand: demand})
+	}
+	a := bulletin.Announcement{Director: d.own, Roll: d.roll, Config: "0123456789abcdef"}
+	var err error
+	if a.Turns, err = json.Marshal(d.renewer.Renewal(Now())); err != nil {
+		panic(err) // texts and numbers
+	}
+	header, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // texts and numbers
+	}
+	return header
+}
+
+// Data implements transport.Handler.
+func (d *director) Data(b []byte) (used, need int, err error) {
+	response, used, need, err := bulletin.ParseResponse(b)
+	if err != nil || used == 0 {
+		return 0, need, err
+	}
+	traffic := &d.process.count.traffic[d.at]
+	traffic.BytesDown += int64(used)
+	if response.Status != 200 {
+		return used, 0, fmt.Errorf("status %d", response.Status)
+	}
+	feed, err := bulletin.Decode(response.Body)
+	if err != nil {
+		return used, 0, err
+	}
+	if len(feed.Faults) > 0 {
+		return used, 0, feed.Faults[0]
+	}
+	traffic.Answers++
+	now := Now()
+	d.silence = max(d.silence, d.silent(now))
+	d.answered, d.retry, d.tried = now, watchRetryMin, 0
+	d.take(feed, now)
+	if response.Close {
+		d.close()
+		d.connect()
+		return used, 0, nil
+	}
+	d.poll()
+	return used, 0, nil
+}
+
+// take takes a feed in, each event once.
+func (d *director) take(feed bulletin.Feed, now time.Duration) {
+	if len(feed.Turns) > 0 {
+		d.takeGrant(feed.Turns, now)
+	}
+	count := &d.process.count
+	hadRoll := d.roll > 0 // without it the server tells everything from the beginning
+	for _, item := range feed.Items {
+		if item.Roll != nil && (item.Roll.Whole || item.Number > d.last) {
+			d.roll = max(d.roll, item.Number)
+		}
+		if item.Number <= d.last {
+			if item.Recall != nil && hadRoll {
+				count.repeated++
+			}
+			continue
+		}
+		d.last = item.Number
+		if item.Recall != nil && d.answers > 0 {
+			count.purges[item.Number] = append(count.purges[item.Number], int64(now))
+		}
+	}
+	d.last = max(d.last, feed.Last)
+	d.answers++
+}
+
+func (d *director) takeGrant(raw json.RawMessage, now time.Duration) {
+	var grant quota.Grant
+	if err := json.Unmarshal(raw, &grant); err != nil {
+		d.process.count.reasons["malformed grant: "+err.Error()]++
+		return
+	}
+	d.renewer.Take(grant, now)
+	d.process.count.grants++
+}
+
+// silent is for how long the director has been without an answer within the window.
+func (d *director) silent(now time.Duration) time.Duration {
+	return now - max(d.answered, d.process.count.begin)
+}
