--- /dev/null
+++ b/internal/scale/fit_test.go
@@ -0,0 +1,39 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-9*max(1, math.Abs(a), math.Abs(b)) }
+
+func TestFitFindsTheLawThatMadeThePoints(t *testing.T) {
+	for _, square := range []float64{0, 3e-7, 2e-6} {
+		var points []Point
+		for _, n := range []float64{100, 200, 400, 800, 1600} {
+			points = append(points, Point{Directors: n, Value: 0.04 + 0.001*n + square*n*n})
+		}
+		law, err := Fit(points)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !near(law.QuadraticConstant, 0.04) || !near(law.QuadraticSlope, 0.001) || !near(law.Square, square) || law.QuadraticResidual > 1e-9 {
+			t.Errorf("square %g: %+v", square, law)
+		}
+		if straight := near(law.Constant, 0.04) && near(law.Slope, 0.001) && law.Residual < 1e-9; straight != (square == 0) {
+			t.Errorf("square %g: line %+v", square, law)
+		}
+		if law.Linear != (square < 1e-6) {
+			t.Errorf("square %g: linear %v with a residual of %g", square, law.Linear, law.Residual)
+		}
+	}
+}
+
+func TestFitRefusesTooFewSizes(t *testing.T) {
+	for _, points := range [][]Point{nil, {{100, 1}, {200, 2}}, {{100, 1}, {200, 2}, {200, 3}}} {
+		if _, err := Fit(points); !errors.Is(err, ErrTooFew) {
+			t.Errorf("%v: %v", points, err)
+		}
+	}
+}
