Add stairvane scale, which measures the control plane beside many hollow directors

Figures of the control plane at hundreds of directors came from benchmarks of parts alone, not from processes under load.

The command starts replicas, relays if wanted, real directors and processes of hollow ones, applies purges and changes of the configuration at steady rates, and measures a window: CPU, memory and bytes of each role, delays of purges, lost leases and directors wrongly taken off the membership. It can kill the leader or a relay, or restart directors. Directors, processes, memory and time are bounded; a size that collapses ends the run, and its reasons are in the result.

--- a/cmd/stairvane-fleet/cli.go
+++ b/cmd/stairvane-fleet/cli.go
@@ -35,6 +35,7 @@
 	Signals  signalsCmd  `cmd:"" help:"Show what directors together see of boxes, and by whose evidence."`
 	Turns    turnsCmd    `cmd:"" help:"Show who holds what part of what directors share, and until when."`
 	Version  versionCmd  `cmd:"" help:"Tell which program this is."`
+	Scale    scaleCmd    `cmd:"" help:"Measure the control plane beside many simulated directors on this machine."`
 	Standin  standinCmd  `cmd:"" help:"Stand-ins for a quick start on one machine."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install or remove the shell's completions."`
--- /dev/null
+++ b/cmd/stairvane-fleet/scale.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"stairvane.org/stairvane/internal/scale"
+	"stairvane.org/stairvane/internal/scale/hollow"
+)
+
+type scaleCmd struct {
+	Run    scaleRunCmd    `cmd:"" default:"withargs" help:"Start a control plane, directors and simulated directors on this machine and measure them under load. Ends with 1 if a size collapses."`
+	Hollow scaleHollowCmd `cmd:"" hidden:"" help:"Simulated directors of a run, in one process."`
+}
+
+type scaleRunCmd struct {
+	output
+	Directors  []int         `default:"100,200,400" help:"Sizes: simulated directors."`
+	Replicas   int           `default:"3" help:"Replicas of the control plane."`
+	Relays     int           `default:"0" help:"Relays between replicas and directors; 0: directors watch replicas."`
+	Real       int           `default:"2" help:"Real directors beside the simulated ones."`
+	Processes  int           `default:"2" help:"Processes that the simulated directors share."`
+	Cold       int           `default:"0" help:"Cold caches of which all directors want shares."`
+	Demand     float64       `default:"1.5" help:"What all directors together want of a cold cache, in parts of its limit."`
+	Zipf       float64       `default:"1.1" help:"Exponent of the law that divides the demand among directors."`
+	Purges     float64       `default:"21" help:"Purges a second."`
+	Changes    float64       `default:"0.1" help:"Changes of the configuration a second."`
+	StartRate  int           `default:"200" help:"Simulated directors a second that begin to watch, in each process."`
+	Settle     time.Duration `default:"3s" help:"Time under load before the window."`
+	Window     time.Duration `default:"10s" help:"Time that is measured."`
+	KillRelay  bool          `xor:"fault" help:"Kill one relay in the window."`
+	KillLeader bool          `xor:"fault" help:"Kill the leader in the window."`
+	Restart    int           `default:"0" help:"Simulated directors a second that stop without a word and start anew, in the window."`
+	KeepOn     bool          `help:"Go on with larger sizes after one has collapsed."`
+	Seed       uint64        `default:"1" help:"Of demands and pauses."`
+	Save       string        `type:"path" help:"Also write the result as JSON to a file in this folder, named by time and topology."`
+}
+
+func (c scaleRunCmd) settings() (set scale.Settings, err error) {
+	set = scale.Settings{
+		Directors: c.Directors, Replicas: c.Replicas, Relays: c.Relays, RealDirectors: c.Real, Processes: c.Processes, ColdCaches: c.Cold,
+		Demand: c.Demand, Zipf: c.Zipf, PurgesPerSecond: c.Purges, ChangesPerSecond: c.Changes, StartPerSecond: c.StartRate,
+		Settle: c.Settle, Window: c.Window, RestartPerSecond: c.Restart, KeepOn: c.KeepOn, Seed: c.Seed,
+	}
+	if c.KillRelay {
+		set.Fault = scale.KillRelay
+	}
+	if c.KillLeader {
+		set.Fault = scale.KillLeader
+	}
+	set.Program, err = os.Executable()
+	return set, err
+}
+
+// Run measures; what was measured is written also where the run ends early.
+func (c scaleRunCmd) Run(s streams) error {
+	set, err := c.settings()
+	if err != nil {
+		return err
+	}
+	if set.Folder, err = os.MkdirTemp("", "stairvane-scale"); err != nil {
+		return err
+	}
+	defer os.RemoveAll(set.Folder)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	shown, err := json.Marshal(set)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.err, "settings: %s\n", shown)
+	result, runErr := scale.Run(ctx, set, func(r scale.Row) {
+		fmt.Fprintf(s.err, "%d hollow directors measured, load average %.1f\n", r.Hollow, r.LoadAverage[1])
+	})
+	if c.Output == "json" {
+		err = writeJSON(s.out, result)
+	} else {
+		err = scale.WriteTable(s.out, result)
+	}
+	if err == nil && c.Save != "" && len(result.Rows) > 0 {
+		err = c.save(result)
+	}
+	if runErr != nil {
+		return runErr
+	}
+	if err != nil {
+		return err
+	}
+	if last := result.Rows[len(result.Rows)-1]; len(last.Collapsed) > 0 {
+		return &exit{exitFailed, fmt.Sprintf("%d hollow directors are more than the control plane bears here", last.Hollow)}
+	}
+	return nil
+}
+
+// save writes the result to a file of its own.
+func (c scaleRunCmd) save(result scale.Result) error {
+	name := fmt.Sprintf("%s-%d-replicas-%d-relays-%d-cold", result.Began.Format("20060102-150405"), c.Replicas, c.Relays, c.Cold)
+	if fault := result.Settings.Fault; fault != scale.NoFault {
+		name += "-" + string(fault)
+	}
+	file, err := os.Create(filepath.Join(c.Save, name+".json"))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return writeJSON(file, result)
+}
+
+type scaleHollowCmd struct {
+	Settings string `arg:"" type:"path" help:"File of settings."`
+}
+
+// Run serves until the run ends it.
+func (c scaleHollowCmd) Run() error {
+	set, err := hollow.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	p, err := hollow.New(set)
+	if err != nil {
+		return err
+	}
+	return p.Run()
+}
--- /dev/null
+++ b/internal/scale/cluster.go
@@ -0,0 +1,341 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/scale/hollow"
+	"stairvane.org/stairvane/internal/standin"
+	"stairvane.org/stairvane/internal/standin/rig"
+)
+
+// Roles of processes.
+const (
+	RoleLeader   = "leader"
+	RoleReplica  = "replica"
+	RoleRelay    = "relay"
+	RoleDirector = "director"
+	RoleHollow   = "hollow"
+	RoleRun      = "run"
+)
+
+const (
+	startWithin   = 30 * time.Second
+	controlWithin = 15 * time.Second
+	joinLook      = 250 * time.Millisecond
+	snapshotEvery = 10_000 // events
+)
+
+// processSpec is how a process is started: it serves once it has logged an event, a key of which gives an address.
+type processSpec struct {
+	name       string
+	args       []string
+	event      string
+	addressKey string
+}
+
+// member is a process of the run with its role.
+type member struct {
+	*rig.Process
+	role    string
+	address string // of its watch server, or of a hollow process's control server
+}
+
+// cluster is all processes of one size.
+type cluster struct {
+	set       Settings
+	folder    string
+	group     *rig.Boards
+	relays    []*member
+	directors []*rig.Director
+	hollows   []*member
+	caches    []*standin.Cache
+	control   *http.Client
+}
+
+// startCluster starts all but the hollow directors.
+func startCluster(set Settings, folder string) (c *cluster, err error) {
+	c = &cluster{set: set, folder: folder, control: &http.Client{Timeout: controlWithin}}
+	defer func() {
+		if err != nil {
+			c.close()
+		}
+	}()
+	if c.group, err = rig.NewBoards(set.Program, folder, set.Replicas, 0); err != nil {
+		return nil, err
+	}
+	c.group.Every = snapshotEvery
+	if err := c.group.Found(startWithin); err != nil {
+		return nil, err
+	}
+	if err := c.declareFleet(); err != nil {
+		return nil, err
+	}
+	if err := c.startRelays(); err != nil {
+		return nil, err
+	}
+	for i := range set.RealDirectors {
+		d, err := c.group.StartDirector(fmt.Sprintf("real-%d", i), "west", i%set.Replicas, "")
+		if err != nil {
+			return nil, err
+		}
+		c.directors = append(c.directors, d)
+	}
+	return c, nil
+}
+
+func (c *cluster) start(spec processSpec, role string) (*member, error) {
+	p, err := rig.Start(spec.name, c.set.Program, spec.args, nil)
+	if err != nil {
+		return nil, err
+	}
+	serves, _, err := p.Event(spec.event, 0, startWithin)
+	if err != nil {
+		p.Kill()
+		return nil, fmt.Errorf("%w\n%s", err, strings.Join(p.Log(), "\n"))
+	}
+	address, is := serves[spec.addressKey].(string)
+	if !is {
+		p.Kill()
+		return nil, fmt.Errorf("scale: %s does not tell %s", spec.name, spec.addressKey)
+	}
+	return &member{Process: p, role: role, address: address}, nil
+}
+
+// startRelays starts the relays, and leads real directors to them.
+func (c *cluster) startRelays() error {
+	var upstream []string
+	for _, b := range c.group.List {
+		upstream = append(upstream, b.Write.Addr())
+	}
+	for i := range c.set.Relays {
+		name := fmt.Sprintf("r%d", i+1)
+		file := filepath.Join(c.folder, name+".scm")
+		text := fmt.Sprintf("(relay (name %s) (machine m-%s) (site s-%s) (region region-%d) (listen 127.0.0.1:0) (upstream %s))\n",
+			name, name, name, i+1, strings.Join(upstream, " "))
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return err
+		}
+		spec := processSpec{name: name, args: []string{"relay", file}, event: "relay.serves", addressKey: "watch"}
+		relay, err := c.start(spec, RoleRelay)
+		if err != nil {
+			return err
+		}
+		c.relays = append(c.relays, relay)
+	}
+	for i, b := range c.group.List {
+		if len(c.relays) > 0 {
+			b.Follow.To(c.relays[i%len(c.relays)].address)
+		}
+	}
+	return nil
+}
+
+// watchServers are the addresses that hollow directors watch: the relays', or else the replicas' own, without the link stand-ins
+// between, which would cost CPU in the run.
+func (c *cluster) watchServers() (addresses []netip.AddrPort, err error) {
+	for _, relay := range c.relays {
+		address, err := netip.ParseAddrPort(relay.address)
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	if len(addresses) > 0 {
+		return addresses, nil
+	}
+	for _, b := range c.group.List {
+		address, err := replicaWatch(b)
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
+// replicaWatch is the address of a replica's own watch server.
+func replicaWatch(b *rig.Board) (netip.AddrPort, error) {
+	serves, _, err := b.Event("board.serves", 0, startWithin)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	address, _ := serves["bulletin"].(string)
+	return netip.ParseAddrPort(address)
+}
+
+// startHollow starts the hollow directors.
+func (c *cluster) startHollow(count int) error {
+	addresses, err := c.watchServers()
+	if err != nil {
+		return err
+	}
+	first := 0
+	for i := range c.set.Processes {
+		share := count * (i + 1) / c.set.Processes
+		set := hollow.Settings{
+			Addresses: addresses, First: first, Count: share - first, Total: count, ColdCaches: c.set.ColdCaches, Demand: c.set.Demand,
+			Zipf: c.set.Zipf, Seed: c.set.Seed, StartPerSecond: c.set.StartPerSecond,
+		}
+		first = share
+		text, err := json.Marshal(set)
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprintf("hollow-%d", i)
+		file := filepath.Join(c.folder, name+".json")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return err
+		}
+		spec := processSpec{name: name, args: []string{"scale", "hollow", file}, event: hollow.ServesEvent, addressKey: hollow.ControlKey}
+		p, err := c.start(spec, RoleHollow)
+		if err != nil {
+			return err
+		}
+		c.hollows = append(c.hollows, p)
+	}
+	return nil
+}
+
+// ask calls a hollow process's control server.
+func (c *cluster) ask(p *member, method, path string, out any) error {
+	request, err := http.NewRequest(method, "http://"+p.address+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.control.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("scale: %s answered %s", p.Name, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(out)
+}
+
+// sum adds up what all hollow processes answer.
+func (c *cluster) sum(method, path string) (total int, err error) {
+	for _, p := range c.hollows {
+		var one int
+		if err := c.ask(p, method, path, &one); err != nil {
+			return total, err
+		}
+		total += one
+	}
+	return total, nil
+}
+
+// declareFleet makes the fleet: a location with two caches, which are warm, and what they are filled from.
+func (c *cluster) declareFleet() error {
+	rules := fleet.DefaultRules()
+	rules.Cache.WarmMS = 0
+	rules.Hub.WarmMS = 0
+	wish := fleet.Wish{Rules: rules}
+	for _, box := range []fleet.Box{
+		{Name: "store", Role: fleet.Origin, Site: "hub", Class: "origin", Share: 40},
+		{Name: "west-0", Role: fleet.Cache, Site: "west", Class: "std", Share: 4, Running: true},
+		{Name: "west-1", Role: fleet.Cache, Site: "west", Class: "std", Share: 4, Running: true},
+	} {
+		cache, err := standin.NewCache("127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		c.caches = append(c.caches, cache)
+		box.Address = cache.Addr()
+		wish.Boxes = append(wish.Boxes, box)
+	}
+	wish.Locations = []fleet.Location{{Name: "west", Floor: 1, Load: 1, Sources: []string{"store"}}}
+	wish.Normal()
+	client, err := c.group.Client()
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(startWithin); ; time.Sleep(retryPause) {
+		err := change(client, func(fleet.World) fleet.Wish { return wish })
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+// join waits until so many directors are on the membership. It gives how many are, also where the time is over.
+func (c *cluster) join(count int, within time.Duration) (joined int, took time.Duration, err error) {
+	client, err := c.group.Client()
+	if err != nil {
+		return 0, 0, err
+	}
+	begin := time.Now()
+	for {
+		var roll api.Roll
+		if roll, err = client.Roll(); err == nil {
+			joined = len(roll.Directors)
+		}
+		took = time.Since(begin)
+		if joined >= count || took > within {
+			return joined, took, err
+		}
+		time.Sleep(joinLook)
+	}
+}
+
+// members are all processes with their roles as they are now.
+func (c *cluster) members(leader *rig.Board) (all []*member) {
+	for _, b := range c.group.List {
+		role := RoleReplica
+		if b == leader {
+			role = RoleLeader
+		}
+		address, err := replicaWatch(b)
+		if err != nil {
+			continue // it was killed before it served
+		}
+		all = append(all, &member{Process: b.Process, role: role, address: address.String()})
+	}
+	all = append(all, c.relays...)
+	for _, d := range c.directors {
+		all = append(all, &member{Process: d.Process, role: RoleDirector})
+	}
+	return append(all, c.hollows...)
+}
+
+// resident is the memory of all processes in bytes.
+func (c *cluster) resident() (sum int64) {
+	for _, m := range c.members(nil) {
+		if u, err := readUsage(m.Pid()); err == nil {
+			sum += u.rss
+		}
+	}
+	return sum
+}
+
+var errNoLeader = errors.New("scale: no replica leads")
+
+// close ends all processes.
+func (c *cluster) close() {
+	for _, p := range append(c.relays, c.hollows...) {
+		if p.Running() {
+			p.Kill()
+		}
+	}
+	for _, d := range c.directors {
+		if d.Running() {
+			d.Kill()
+		}
+	}
+	if c.group != nil {
+		c.group.Close()
+	}
+	for _, cache := range c.caches {
+		cache.Close()
+	}
+}
