--- a/cmd/stairvane-fleet/scale.go
+++ b/cmd/stairvane-fleet/scale.go
@@ -83,13 +83,8 @@
 	result, runErr := scale.Run(ctx, set, func(r scale.Row) {
 		fmt.Fprintf(s.err, "%d hollow directors measured, load average %.1f\n", r.Hollow, r.LoadAverage[1])
 	})
-	if c.Output == "json" {
-		err = writeJSON(s.out, result)
-	} else {
-		err = scale.WriteTable(s.out, result)
-	}
-	if err == nil && c.Save != "" && len(result.Rows) > 0 {
-		err = c.save(result)
+	if len(result.Rows) > 0 {
+		err = c.write(s, result)
 	}
 	if runErr != nil {
 		return runErr
@@ -103,6 +98,19 @@
 	return nil
 }
 
+// write writes the result as it is wanted.
+func (c scaleRunCmd) write(s streams, result scale.Result) (err error) {
+	if c.Output == "json" {
+		err = writeJSON(s.out, result)
+	} else {
+		err = scale.WriteTable(s.out, result)
+	}
+	if err == nil && c.Save != "" {
+		err = c.save(result)
+	}
+	return err
+}
+
 // save writes the result to a file of its own.
 func (c scaleRunCmd) save(result scale.Result) error {
 	name := fmt.Sprintf("%s-%d-replicas-%d-relays-%d-cold", result.Began.Format("20060102-150405"), c.Replicas, c.Relays, c.Cold)
--- a/internal/scale/cluster.go
+++ b/internal/scale/cluster.go
@@ -63,34 +63,37 @@
 }
 
 // startCluster starts all but the hollow directors.
-func startCluster(set Settings, folder string) (c *cluster, err error) {
-	c = &cluster{set: set, folder: folder, control: &http.Client{Timeout: controlWithin}}
-	defer func() {
-		if err != nil {
-			c.close()
-		}
-	}()
-	if c.group, err = rig.NewBoards(set.Program, folder, set.Replicas, 0); err != nil {
+func startCluster(set Settings, folder string) (*cluster, error) {
+	c := &cluster{set: set, folder: folder, control: &http.Client{Timeout: controlWithin}}
+	if err := c.startAll(); err != nil {
+		c.close()
 		return nil, err
 	}
+	return c, nil
+}
+
+func (c *cluster) startAll() (err error) {
+	if c.group, err = rig.NewBoards(c.set.Program, c.folder, c.set.Replicas, 0); err != nil {
+		return err
+	}
 	c.group.Every = snapshotEvery
 	if err := c.group.Found(startWithin); err != nil {
-		return nil, err
+		return err
 	}
 	if err := c.declareFleet(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := c.startRelays(); err != nil {
-		return nil, err
+		return err
 	}
-	for i := range set.RealDirectors {
-		d, err := c.group.StartDirector(fmt.Sprintf("real-%d", i), "west", i%set.Replicas, "")
+	for i := range c.set.RealDirectors {
+		d, err := c.group.StartDirector(fmt.Sprintf("real-%d", i), "west", i%c.set.Replicas, "")
 		if err != nil {
-			return nil, err
+			return err
 		}
 		c.directors = append(c.directors, d)
 	}
-	return c, nil
+	return nil
 }
 
 func (c *cluster) start(spec processSpec, role string) (*member, error) {
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -69,3 +69,20 @@
 		t.Errorf("roles %v", roles)
 	}
 }
+
+// A run whose processes do not start ends with the reason.
+func TestRunEndsWhereAProcessDoesNotStart(t *testing.T) {
+	set := scale.Settings{
+		Program: program, Folder: t.TempDir(), Directors: []int{1}, Replicas: 1, Processes: 1, StartPerSecond: 1, Window: time.Second,
+	}
+	if err := os.WriteFile(filepath.Join(set.Folder, "size-1"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if result, err := scale.Run(t.Context(), set, func(scale.Row) {}); err == nil || len(result.Rows) > 0 || result.Stopped == "" {
+		t.Errorf("%+v, %v", result, err)
+	}
+	set.Folder, set.Program = t.TempDir(), "/bin/false"
+	if result, err := scale.Run(t.Context(), set, func(scale.Row) {}); err == nil || len(result.Rows) > 0 || result.Stopped == "" {
+		t.Errorf("%+v, %v", result, err)
+	}
+}
