scale: let the reconnect pauses' number of directors be set

A director that is without an answer for 200 ms pauses before it connects anew for up to 2.5 ms a director of its configuration, which at 400 directors is longer than its lease; whether collapses come from that was not to be told.

--crowd sets the number for hollow directors; by default it is theirs.

--- a/cmd/stairvane-fleet/scale.go
+++ b/cmd/stairvane-fleet/scale.go
@@ -31,6 +31,7 @@
 	Zipf       float64       `default:"1.1" help:"Exponent of the law that divides the demand among directors."`
 	Purges     float64       `default:"21" help:"Purges a second."`
 	Changes    float64       `default:"0.1" help:"Changes of the configuration a second."`
+	Crowd      int           `default:"0" help:"Number of directors by the simulated directors' configuration, with which their reconnect pauses grow; 0: as many as there are."`
 	StartRate  int           `default:"200" help:"Simulated directors a second that begin to watch, in each process."`
 	Settle     time.Duration `default:"3s" help:"Time under load before the window."`
 	Window     time.Duration `default:"10s" help:"Time that is measured."`
@@ -46,7 +47,7 @@
 func (c scaleRunCmd) settings() (set scale.Settings, err error) {
 	set = scale.Settings{
 		Directors: c.Directors, Replicas: c.Replicas, Relays: c.Relays, RealDirectors: c.Real, Processes: c.Processes, ColdCaches: c.Cold,
-		Demand: c.Demand, Zipf: c.Zipf, PurgesPerSecond: c.Purges, ChangesPerSecond: c.Changes, StartPerSecond: c.StartRate,
+		Demand: c.Demand, Zipf: c.Zipf, PurgesPerSecond: c.Purges, ChangesPerSecond: c.Changes, Crowd: c.Crowd, StartPerSecond: c.StartRate,
 		Settle: c.Settle, Window: c.Window, RestartPerSecond: c.Restart, KeepOn: c.KeepOn, Seed: c.Seed,
 	}
 	if c.KillRelay {
--- a/internal/scale/cluster.go
+++ b/internal/scale/cluster.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -187,7 +188,7 @@
 		share := count * (i + 1) / c.set.Processes
 		set := hollow.Settings{
 			Addresses: addresses, First: first, Count: share - first, Total: count, ColdCaches: c.set.ColdCaches, Demand: c.set.Demand,
-			Zipf: c.set.Zipf, Seed: c.set.Seed, StartPerSecond: c.set.StartPerSecond,
+			Zipf: c.set.Zipf, Crowd: cmp.Or(c.set.Crowd, count), Seed: c.set.Seed, StartPerSecond: c.set.StartPerSecond,
 		}
 		first = share
 		text, err := json.Marshal(set)
--- a/internal/scale/hollow/director.go
+++ b/internal/scale/hollow/director.go
@@ -113,7 +113,7 @@
 	d.close()
 	d.process.count.ended++
 	d.process.count.reasons[err.Error()]++
-	spread := time.Duration(d.process.set.Total-1) * watchSpread
+	spread := time.Duration(d.process.set.Crowd-1) * watchSpread
 	pause := d.retry/2 + time.Duration(d.random.Float64()*float64(d.retry+spread))
 	d.process.loop.Set(&d.timer, d.process.loop.Now()+pause)
 	addresses := len(d.process.set.Addresses)
--- a/internal/scale/hollow/settings.go
+++ b/internal/scale/hollow/settings.go
@@ -37,7 +37,8 @@
 	Addresses      []netip.AddrPort `json:"addresses"`        // of the servers of watches; director i begins with address i modulo their number
 	First          int              `json:"first"`            // number of the first director; numbers are unique in a run
 	Count          int              `json:"count"`            // directors in this process
-	Total          int              `json:"total"`            // directors in the whole run: the reconnect pause grows with it
+	Total          int              `json:"total"`            // directors in the whole run
+	Crowd          int              `json:"crowd"`            // directors by their configuration: the reconnect pause grows with it
 	ColdCaches     int              `json:"cold_caches"`      // caches of which each director wants a share
 	Demand         float64          `json:"demand"`           // sum of all directors' demands for one cold cache, in parts of its limit
 	Zipf           float64          `json:"zipf"`             // exponent of the law by which demand is divided among directors
@@ -65,8 +66,8 @@
 		return fmt.Errorf("hollow: %d directors, 1 to %d are allowed in a process", s.Count, MaxDirectors)
 	case s.First < 0 || s.First+s.Count > s.Total:
 		return fmt.Errorf("hollow: directors %d to %d of %d", s.First, s.First+s.Count-1, s.Total)
-	case s.ColdCaches < 0 || s.StartPerSecond < 1:
-		return errors.New("hollow: cold_caches or start_per_second out of range")
+	case s.ColdCaches < 0 || s.StartPerSecond < 1 || s.Crowd < 1:
+		return errors.New("hollow: cold_caches, crowd or start_per_second out of range")
 	}
 	return nil
 }
--- a/internal/scale/hollow/settings_test.go
+++ b/internal/scale/hollow/settings_test.go
@@ -33,7 +33,7 @@
 }
 
 func TestSettingsAreChecked(t *testing.T) {
-	set := Settings{Addresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Count: 10, Total: 20, First: 10, StartPerSecond: 1}
+	set := Settings{Addresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Count: 10, Total: 20, First: 10, Crowd: 20, StartPerSecond: 1}
 	if err := set.check(); err != nil {
 		t.Fatal(err)
 	}
@@ -41,6 +41,7 @@
 		func(s *Settings) { s.Addresses = nil },
 		func(s *Settings) { s.Count = MaxDirectors + 1 },
 		func(s *Settings) { s.First = 11 },
+		func(s *Settings) { s.Crowd = 0 },
 		func(s *Settings) { s.StartPerSecond = 0 },
 	} {
 		wrong := set
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -46,6 +46,7 @@
 	Zipf             float64       `json:"zipf"`   // exponent
 	PurgesPerSecond  float64       `json:"purges_per_second"`
 	ChangesPerSecond float64       `json:"changes_per_second"`
+	Crowd            int           `json:"crowd"`            // directors by the hollow directors' configuration, 0: as many as there are; reconnect pauses grow with it
 	StartPerSecond   int           `json:"start_per_second"` // hollow directors that begin to watch, in each process
 	Settle           time.Duration `json:"settle"`           // under load, before the window
 	Window           time.Duration `json:"window"`
@@ -80,6 +81,8 @@
 		return fmt.Errorf("scale: at most %v purges or changes a second are allowed", MaxPurges)
 	case s.Fault == KillRelay && s.Relays < 2:
 		return errors.New("scale: to kill a relay, there must be two")
+	case s.Crowd < 0 || s.Crowd > MaxDirectors:
+		return fmt.Errorf("scale: a crowd of %d, 0 to %d are allowed", s.Crowd, MaxDirectors)
 	case s.RestartPerSecond < 0 || s.StartPerSecond < 1:
 		return errors.New("scale: a rate is too small")
 	}
