scale: tell a linear from a quadratic law, or that the points leave it open

A law counted as not linear wherever its residual was over a twentieth of the largest value, also where noise alone made it so: three sizes of the leader at a residual of 5.1% did.

A law is linear by that bound, quadratic where a positive square term halves the residual over four sizes or more, else unclear. Results saved before have a field linear instead of shape.

--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -5,8 +5,21 @@
 	"math"
 )
 
-// linearShare is the residual, as a share of the largest value, up to which values count as linear.
-const linearShare = 0.05
+const (
+	linearShare   = 0.05 // residual of the line, as a share of the largest value, up to which values count as linear
+	clearlyBetter = 0.5  // residual of the parabola, as a share of the line's, up to which a square term is seen
+	sizesToJudge  = 4    // a parabola goes through any three points
+)
+
+// Shape is what the residuals tell of a law.
+type Shape string
+
+// Shapes. None says anything of sizes beyond the largest one that was measured.
+const (
+	Linear    Shape = "linear"    // the line's residual is at most a twentieth of the largest value
+	Quadratic Shape = "quadratic" // it is more, and a positive square term halves it at least, over four sizes or more
+	Unclear   Shape = "unclear"   // neither
+)
 
 // ErrTooFew is returned where there are fewer than three points of different sizes.
 var ErrTooFew = errors.New("scale: a law needs three points of different sizes at least")
@@ -29,9 +42,7 @@
 	QuadraticSlope    float64 `json:"quadratic_slope"`
 	Square            float64 `json:"square"` // per director squared
 	QuadraticResidual float64 `json:"quadratic_residual"`
-	// Linear tells that the line's residual is at most a twentieth of the largest value. It says nothing of sizes beyond the
-	// largest one that was measured.
-	Linear bool `json:"linear"`
+	Shape             Shape   `json:"shape"`
 }
 
 // Fit finds the linear and the quadratic law of points by least squares. With three points the parabola goes through all of them,
@@ -59,7 +70,14 @@
 		Square:            parabola[2],
 		QuadraticResidual: residual(points, parabola),
 	}
-	law.Linear = law.Residual <= linearShare*largest
+	switch {
+	case law.Residual <= linearShare*largest:
+		law.Shape = Linear
+	case len(sizes) >= sizesToJudge && law.Square > 0 && law.QuadraticResidual <= clearlyBetter*law.Residual:
+		law.Shape = Quadratic
+	default:
+		law.Shape = Unclear
+	}
 	return law, nil
 }
 
--- a/internal/scale/fit_test.go
+++ b/internal/scale/fit_test.go
@@ -24,8 +24,24 @@
 		if straight := near(law.Constant, 0.04) && near(law.Slope, 0.001) && law.Residual < 1e-9; straight != (square == 0) {
 			t.Errorf("square %g: line %+v", square, law)
 		}
-		if law.Linear != (square < 1e-6) {
-			t.Errorf("square %g: linear %v with a residual of %g", square, law.Linear, law.Residual)
+		want := Linear
+		if square > 1e-6 {
+			want = Quadratic
+		}
+		if law.Shape != want {
+			t.Errorf("square %g: %s with residuals of %g and %g", square, law.Shape, law.Residual, law.QuadraticResidual)
+		}
+	}
+}
+
+func TestFitLeavesOpenWhatPointsDoNotTell(t *testing.T) {
+	for name, points := range map[string][]Point{
+		"three sizes": {{100, 1}, {200, 4}, {300, 9}},
+		"noise":       {{100, 1}, {200, 3}, {300, 1}, {400, 3}, {500, 1}},
+		"falling":     {{100, 25}, {200, 24}, {300, 19}, {400, 10}, {500, -3}},
+	} {
+		if law, err := Fit(points); err != nil || law.Shape != Unclear {
+			t.Errorf("%s: %+v, %v", name, law, err)
 		}
 	}
 }
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -31,12 +31,8 @@
 		if !is {
 			continue
 		}
-		form := "not linear"
-		if law.Linear {
-			form = "linear"
-		}
 		fmt.Fprintf(out, "CPU of %s: %.4f + %.6f a director (residual %.4f, with a square term %.4f): %s\n",
-			role, law.Constant, law.Slope, law.Residual, law.QuadraticResidual, form)
+			role, law.Constant, law.Slope, law.Residual, law.QuadraticResidual, law.Shape)
 	}
 	if result.Stopped != "" {
 		fmt.Fprintln(out, result.Stopped)
