scale: test that a run that uses too much memory is cancelled

The bound on memory was in no test.

The guard takes its limit as an argument; waiting, load and window of a size are apart from starting its processes.

The package's tests pass (14 s, load average 11).

--- a/internal/scale/cluster.go
+++ b/internal/scale/cluster.go
@@ -244,7 +244,7 @@
 	rules := fleet.DefaultRules()
 	rules.Cache.WarmMS = 0
 	rules.Hub.WarmMS = 0
-	wish := fleet.Wish{Rules: rules}
+	wanted := fleet.Wish{Rules: rules}
 	for _, box := range []fleet.Box{
 		{Name: "store", Role: fleet.Origin, Site: "hub", Class: "origin", Share: 40},
 		{Name: "west-0", Role: fleet.Cache, Site: "west", Class: "std", Share: 4, Running: true},
@@ -256,16 +256,16 @@
 		}
 		c.caches = append(c.caches, cache)
 		box.Address = cache.Addr()
-		wish.Boxes = append(wish.Boxes, box)
+		wanted.Boxes = append(wanted.Boxes, box)
 	}
-	wish.Locations = []fleet.Location{{Name: "west", Floor: 1, Load: 1, Sources: []string{"store"}}}
-	wish.Normal()
+	wanted.Locations = []fleet.Location{{Name: "west", Floor: 1, Load: 1, Sources: []string{"store"}}}
+	wanted.Normal()
 	client, err := c.group.Client()
 	if err != nil {
 		return err
 	}
 	for end := time.Now().Add(startWithin); ; time.Sleep(retryPause) {
-		err := change(client, func(fleet.World) fleet.Wish { return wish })
+		err := change(client, func(fleet.World) fleet.Wish { return wanted })
 		if err == nil || time.Now().After(end) {
 			return err
 		}
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -111,11 +111,11 @@
 func (l *load) change(client *api.Client, n int64) {
 	called := hollow.Now()
 	err := change(client, func(w fleet.World) fleet.Wish {
-		wish := w.AsWish()
-		for i := range wish.Locations {
-			wish.Locations[i].Load = 1 + float64(n%2)/2
+		wanted := w.AsWish()
+		for i := range wanted.Locations {
+			wanted.Locations[i].Load = 1 + float64(n%2)/2
 		}
-		return wish
+		return wanted
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/scale/memory_test.go
@@ -0,0 +1,30 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/standin/rig"
+)
+
+func TestGuardMemoryCancelsARunThatUsesTooMuch(t *testing.T) {
+	p, err := rig.Start("idle", "/bin/sleep", []string{"60"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	c := &cluster{group: &rig.Boards{}, hollows: []*member{{Process: p, role: RoleHollow}}}
+	for _, most := range []int64{1, machineMemory()} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		within, stop := context.WithTimeout(ctx, 4*memoryEvery)
+		begin := time.Now()
+		c.guardMemory(within, cancel, most)
+		if got := errors.Is(context.Cause(ctx), ErrMemory); got != (most == 1) {
+			t.Errorf("%d bytes allowed: cancelled %v after %v", most, got, time.Since(begin))
+		}
+		stop()
+		cancel(nil)
+	}
+}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -70,27 +70,32 @@
 	guarded := make(chan struct{})
 	go func() {
 		defer close(guarded)
-		c.guardMemory(ctx, cancel)
+		c.guardMemory(ctx, cancel, machineMemory()/memoryDivisor)
 	}()
 	defer func() {
 		cancel(nil)
 		<-guarded
 	}()
-	row = Row{Began: time.Now().UTC(), Hollow: size, Real: set.RealDirectors, Fault: set.Fault}
+	return c.measure(ctx, size)
+}
+
+// measure waits until all directors are there, applies the load and takes a window.
+func (c *cluster) measure(ctx context.Context, size int) (row Row, err error) {
+	row = Row{Began: time.Now().UTC(), Hollow: size, Real: c.set.RealDirectors, Fault: c.set.Fault}
 	var took time.Duration
-	if row.Joined, took, err = c.join(size+set.RealDirectors, joinWithin); err != nil {
+	if row.Joined, took, err = c.join(size+c.set.RealDirectors, joinWithin); err != nil {
 		return row, err
 	}
 	row.JoinSeconds = took.Seconds()
-	purges, err := startLoad(c.group, set)
+	purges, err := startLoad(c.group, c.set)
 	if err != nil {
 		return row, err
 	}
 	defer purges.end()
-	if err := sleep(ctx, set.Settle); err != nil {
+	if err := sleep(ctx, c.set.Settle); err != nil {
 		return row, err
 	}
-	w := &window{cluster: c, set: set, load: purges, row: &row}
+	w := &window{cluster: c, set: c.set, load: purges, row: &row}
 	if err := w.measure(ctx); err != nil {
 		return row, err
 	}
@@ -98,9 +103,8 @@
 	return row, c.saveLogs()
 }
 
-// guardMemory cancels the run when its processes use more memory than they may.
-func (c *cluster) guardMemory(ctx context.Context, cancel context.CancelCauseFunc) {
-	most := machineMemory() / memoryDivisor
+// guardMemory cancels the run when its processes use more memory, in bytes, than they may; 0: any.
+func (c *cluster) guardMemory(ctx context.Context, cancel context.CancelCauseFunc, most int64) {
 	for sleep(ctx, memoryEvery) == nil {
 		if most > 0 && c.resident() > most {
 			cancel(ErrMemory)
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -34,19 +34,21 @@
 
 // Settings are those of a run.
 type Settings struct {
-	Program          string        `json:"-"`         // path of stairvane-fleet
-	Folder           string        `json:"-"`         // for files, stores and logs; the run leaves them there
-	Directors        []int         `json:"directors"` // hollow directors, one size after the other
-	Replicas         int           `json:"replicas"`
-	Relays           int           `json:"relays"`
-	RealDirectors    int           `json:"real_directors"`
-	Processes        int           `json:"processes"` // that the hollow directors share
-	ColdCaches       int           `json:"cold_caches"`
-	Demand           float64       `json:"demand"` // of all directors for one cold cache, in parts of its limit
-	Zipf             float64       `json:"zipf"`   // exponent
-	PurgesPerSecond  float64       `json:"purges_per_second"`
-	ChangesPerSecond float64       `json:"changes_per_second"`
-	Crowd            int           `json:"crowd"`            // directors by the hollow directors' configuration, 0: as many as there are; reconnect pauses grow with it
+	Program          string  `json:"-"`         // path of stairvane-fleet
+	Folder           string  `json:"-"`         // for files, stores and logs; the run leaves them there
+	Directors        []int   `json:"directors"` // hollow directors, one size after the other
+	Replicas         int     `json:"replicas"`
+	Relays           int     `json:"relays"`
+	RealDirectors    int     `json:"real_directors"`
+	Processes        int     `json:"processes"` // that the hollow directors share
+	ColdCaches       int     `json:"cold_caches"`
+	Demand           float64 `json:"demand"` // of all directors for one cold cache, in parts of its limit
+	Zipf             float64 `json:"zipf"`   // exponent
+	PurgesPerSecond  float64 `json:"purges_per_second"`
+	ChangesPerSecond float64 `json:"changes_per_second"`
+	// Crowd is the number of directors by the hollow directors' configuration, with which their reconnect pauses grow; 0: as
+	// many as there are.
+	Crowd            int           `json:"crowd"`
 	StartPerSecond   int           `json:"start_per_second"` // hollow directors that begin to watch, in each process
 	Settle           time.Duration `json:"settle"`           // under load, before the window
 	Window           time.Duration `json:"window"`
