Give hollow directors the director's own watch timing

Cause: the scale run copied the constants of a director's event stream, and they had moved: hollow directors still paused up to 2.5 ms times their number. Change: the timing is a type of its own (program.WatchTiming), which the director and the hollow director both use. The director's behaviour is the same as before.

--- a/internal/program/discovery_test.go
+++ b/internal/program/discovery_test.go
@@ -33,7 +33,7 @@
 	if last := slices.Max(pauses); last > 500*time.Millisecond {
 		t.Errorf("the last one waits %v; news count as told 2 s after a break", last)
 	}
-	if alone := newDiscovery(loop, nil, make([]netip.AddrPort, 1), 0, 1).retryPause(); alone > 2*watchRetryMin {
+	if alone := newDiscovery(loop, nil, make([]netip.AddrPort, 1), 0, 1).retryPause(); alone > 2*oneAddressTiming.RetryMin {
 		t.Errorf("a single one waits %v", alone)
 	}
 }
@@ -55,8 +55,8 @@
 		noticed   time.Duration
 		within    time.Duration
 	}{
-		{1, watchSilence + watchDial, delivered},
-		{3, watchSilenceMany, memberUntil},
+		{1, oneAddressTiming.Silence + oneAddressTiming.Dial, delivered},
+		{3, severalAddressesTiming.Silence, memberUntil},
 	} {
 		longest := time.Duration(0)
 		for seed := range directors {
@@ -66,7 +66,7 @@
 		if c.noticed+longest >= c.within {
 			t.Errorf("%d addresses: noticed after %v, and a pause of up to %v: back after %v", c.addresses, c.noticed, longest, c.within)
 		}
-		if spread := longest - watchRetryMin; spread < c.within/8 {
+		if spread := longest - oneAddressTiming.RetryMin; spread < c.within/8 {
 			t.Errorf("%d addresses: all come back within %v", c.addresses, spread)
 		}
 	}
--- a/internal/program/events.go
+++ b/internal/program/events.go
@@ -15,28 +15,6 @@
 	"stairvane.org/stairvane/internal/transport"
 )
 
-const (
-	// An event counts as delivered 7 s after it was published, so a silent event stream must be noticed well before.
-	watchPatience = 2 * time.Second
-	watchSilence  = watchPatience + time.Second
-	watchDial     = time.Second
-	watchRetryMin = 20 * time.Millisecond
-	watchRetryMax = 500 * time.Millisecond
-	// Connections break for all directors at once; each further director widens the time over which they reconnect.
-	watchRetrySpread = 2500 * time.Microsecond
-	// The spread is bounded, however many directors there are: a silent stream is noticed after watchSilence, a connection takes
-	// up to watchDial, and together with the pause that must stay below the 7 s after which an event counts as delivered.
-	watchRetrySpreadMax = 2 * time.Second
-	// With several addresses those who lost one of them are a part of the directors, and each must be back before its lease, and
-	// the control plane's patience with it, is over.
-	watchRetrySpreadMaxMany = 200 * time.Millisecond
-	// With several addresses, a silent one is left for the next soon enough that a purge still arrives in time.
-	watchPatienceMany = 100 * time.Millisecond
-	watchSilenceMany  = 2 * watchPatienceMany
-	watchDialMany     = 200 * time.Millisecond
-	watchRetryMany    = 40 * time.Millisecond // at most: while replicas elect a leader, all refuse their watchers for half a second
-)
-
 // discovery watches the event stream by long polls, one at a time.
 type discovery struct {
 	loop              *transport.Loop
@@ -62,8 +40,9 @@
 }
 
 func newDiscovery(loop *transport.Loop, d *routing.Director, addrs []netip.AddrPort, crowd int, seed uint64) *discovery {
-	f := &discovery{loop: loop, director: d, address: addrs[0], addresses: addrs, retry: watchRetryMin, directors: max(1, crowd),
+	f := &discovery{loop: loop, director: d, address: addrs[0], addresses: addrs, directors: max(1, crowd),
 		rng: rand.New(rand.NewPCG(seed, 1))}
+	f.retry = f.timing().RetryMin
 	f.timer.Fire = f.overdue
 	return f
 }
@@ -80,11 +59,7 @@
 
 func (f *discovery) connect() {
 	f.timer.Stop()
-	within := watchDial
-	if len(f.addresses) > 1 {
-		within = watchDialMany
-	}
-	conn, err := f.loop.Dial(f.address, within, f)
+	conn, err := f.loop.Dial(f.address, f.timing().Dial, f)
 	if err != nil {
 		f.connectionLost(err)
 		return
@@ -99,7 +74,8 @@
 		return
 	}
 	slog.Info("bulletin.moves", "from", f.address.String(), "to", addr.String(), "after", f.applied)
-	f.addresses[0], f.addressIndex, f.address, f.retry = addr, 0, addr, watchRetryMin
+	f.addresses[0], f.addressIndex, f.address = addr, 0, addr
+	f.retry = f.timing().RetryMin
 	if f.conn != nil {
 		f.conn.Close()
 		f.conn = nil
@@ -120,27 +96,16 @@
 	f.addressIndex = (f.addressIndex + 1) % len(f.addresses)
 	f.address = f.addresses[f.addressIndex]
 	if f.addressIndex == 0 { // all have been tried
-		most := watchRetryMax
-		if len(f.addresses) > 1 {
-			most = watchRetryMany
-		}
-		f.retry = min(2*f.retry, most)
+		f.retry = f.timing().Longer(f.retry)
 	}
 }
 
-// retryPause is the time to wait before the next connection: half the usual time and a random part of as much again, spread
-// wider the more directors there are, since all lost their connections at the same moment.
-func (f *discovery) retryPause() time.Duration {
-	return f.retry/2 + time.Duration(f.rng.Float64()*float64(f.retry+f.retrySpread()))
-}
+// timing is that of a director with these addresses.
+func (f *discovery) timing() WatchTiming { return TimingOfWatch(len(f.addresses), f.membership != nil) }
 
-// retrySpread is the time over which directors that lost their connections at the same moment spread their reconnects.
-func (f *discovery) retrySpread() time.Duration {
-	most := watchRetrySpreadMax
-	if len(f.addresses) > 1 {
-		most = watchRetrySpreadMaxMany
-	}
-	return min(time.Duration(f.directors-1)*watchRetrySpread, most)
+// retryPause is the time to wait before the next connection.
+func (f *discovery) retryPause() time.Duration {
+	return f.timing().Pause(f.retry, f.directors, f.rng.Float64())
 }
 
 // Opened implements transport.Handler.
@@ -156,21 +121,19 @@
 }
 
 func (f *discovery) poll() {
-	patience, silence := watchPatience, watchSilence
-	if len(f.addresses) > 1 || f.membership != nil {
-		patience, silence = watchPatienceMany, watchSilenceMany
-	}
+	timing := f.timing()
+	patience := timing.Patience
 	var announce []byte
 	if f.membership != nil {
 		announce = f.membership.announcement()
 		f.requestedAt, f.leaveSent = bootTime(), f.membership.leaving
-		if patience = watchPatienceMany; f.leaveSent {
+		if f.leaveSent {
 			patience = 0
 		}
 	}
 	f.request = bulletin.AppendRequest(f.request[:0], f.address.String(), f.applied, patience.Milliseconds(), announce)
 	f.conn.Write(f.request)
-	f.loop.Set(&f.timer, f.loop.Now()+silence)
+	f.loop.Set(&f.timer, f.loop.Now()+timing.Silence)
 }
 
 // Data implements transport.Handler.
@@ -186,7 +149,7 @@
 	if err != nil {
 		return used, 0, err
 	}
-	f.retry = watchRetryMin
+	f.retry = f.timing().RetryMin
 	if f.membership != nil {
 		f.membership.renewed(f.requestedAt)
 		if len(news.Turns) > 0 {
--- /dev/null
+++ b/internal/program/timing.go
@@ -0,0 +1,64 @@
+package program
+
+import "time"
+
+// WatchTiming is the timing of a director's watch of the event stream.
+type WatchTiming struct {
+	Patience  time.Duration // for which a call may wait for events
+	Silence   time.Duration // after which a call without an answer is given up
+	Dial      time.Duration // within which a connection must come up
+	RetryMin  time.Duration // first pause between two connections
+	RetryMax  time.Duration // longest pause; it doubles each time that all addresses have been tried
+	SpreadMax time.Duration // over which directors that lost their connections at one moment spread, at most
+}
+
+// watchRetrySpread is by how much each further director widens the time over which all reconnect.
+const watchRetrySpread = 2500 * time.Microsecond
+
+// An event counts as delivered 7 s after it was published. A silent stream must be noticed, the pause be over and a connection
+// be up well before that, however many directors there are.
+var oneAddressTiming = WatchTiming{
+	Patience:  2 * time.Second,
+	Silence:   3 * time.Second,
+	Dial:      time.Second,
+	RetryMin:  20 * time.Millisecond,
+	RetryMax:  500 * time.Millisecond,
+	SpreadMax: 2 * time.Second,
+}
+
+// With several addresses, a silent one is left for the next soon enough that a purge still arrives in time. Those who lost one
+// are a part of all directors, and each must be back before its membership lease, as the control plane counts it, is over.
+var severalAddressesTiming = WatchTiming{
+	Patience:  announcedPatience,
+	Silence:   2 * announcedPatience,
+	Dial:      200 * time.Millisecond,
+	RetryMin:  20 * time.Millisecond,
+	RetryMax:  40 * time.Millisecond, // while replicas elect a leader, all refuse their watchers for half a second
+	SpreadMax: 200 * time.Millisecond,
+}
+
+// announcedPatience is that of a director that announces itself: its calls renew its lease.
+const announcedPatience = 100 * time.Millisecond
+
+// TimingOfWatch is the timing for a number of addresses; announced tells that the director announces itself as a member.
+func TimingOfWatch(addresses int, announced bool) WatchTiming {
+	if addresses > 1 {
+		return severalAddressesTiming
+	}
+	t := oneAddressTiming
+	if announced {
+		t.Patience = announcedPatience
+		t.Silence = 2 * announcedPatience
+	}
+	return t
+}
+
+// Pause is how long to wait before the next connection: half the present retry time and a random part of as much again, spread
+// wider the more directors there are, since all lost their connections at the same moment. random is from 0 up to 1.
+func (t WatchTiming) Pause(retry time.Duration, directors int, random float64) time.Duration {
+	spread := min(time.Duration(directors-1)*watchRetrySpread, t.SpreadMax)
+	return retry/2 + time.Duration(random*float64(retry+spread))
+}
+
+// Longer is the retry time after all addresses were tried once more.
+func (t WatchTiming) Longer(retry time.Duration) time.Duration { return min(2*retry, t.RetryMax) }
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -154,7 +154,7 @@
 			since := time.Now()
 			p.write(text)
 			b.watch(1)
-			if took := time.Since(since); took > watchSilence-time.Second/2 {
+			if took := time.Since(since); took > oneAddressTiming.Silence-time.Second/2 {
 				t.Errorf("it was left after %v", took)
 			}
 			w.serves(c)
--- a/internal/scale/hollow/director.go
+++ b/internal/scale/hollow/director.go
@@ -65,8 +65,8 @@
 		Version:     "0123456789ab",
 	}
 	d.last, d.roll, d.answers = 0, 0, 0
-	d.retry = watchRetryMin
-	d.renewer = quota.NewHolder(d.own.ID(), program.Turns)
+	d.retry = d.process.timing.RetryMin
+	d.renewer = quota.NewHolder(d.own.ID(), program.QuotaSettings)
 }
 
 // restart stops the director without a word and starts it anew.
@@ -96,11 +96,7 @@
 
 func (d *director) connect() {
 	d.timer.Stop()
-	within := watchDial
-	if len(d.process.set.Addresses) > 1 {
-		within = watchDialMany
-	}
-	conn, err := d.process.loop.Dial(d.process.set.Addresses[d.at], within, d)
+	conn, err := d.process.loop.Dial(d.process.set.Addresses[d.at], d.process.timing.Dial, d)
 	if err != nil {
 		d.lost(err)
 		return
@@ -108,13 +104,12 @@
 	d.conn = conn
 }
 
-// lost goes on at the next address after a pause, as internal/program/discovery.go does.
+// lost goes on at the next address after a pause, as a director does.
 func (d *director) lost(err error) {
 	d.close()
 	d.process.count.ended++
 	d.process.count.reasons[err.Error()]++
-	spread := time.Duration(d.process.set.Crowd-1) * watchSpread
-	pause := d.retry/2 + time.Duration(d.random.Float64()*float64(d.retry+spread))
+	pause := d.process.timing.Pause(d.retry, d.process.set.Crowd, d.random.Float64())
 	d.process.loop.Set(&d.timer, d.process.loop.Now()+pause)
 	addresses := len(d.process.set.Addresses)
 	d.at = (d.at + 1) % addresses
@@ -122,11 +117,7 @@
 	if d.tried%addresses != 0 {
 		return
 	}
-	most := watchRetryMax
-	if addresses > 1 {
-		most = watchRetryMany
-	}
-	d.retry = min(2*d.retry, most)
+	d.retry = d.process.timing.Longer(d.retry)
 }
 
 // Opened implements transport.Handler.
@@ -143,12 +134,12 @@
 
 func (d *director) poll() {
 	address := d.process.set.Addresses[d.at].String()
-	d.request = bulletin.AppendRequest(d.request[:0], address, d.last, watchPatience.Milliseconds(), d.announcement())
+	d.request = bulletin.AppendRequest(d.request[:0], address, d.last, d.process.timing.Patience.Milliseconds(), d.announcement())
 	traffic := &d.process.count.traffic[d.at]
 	traffic.Requests++
 	traffic.BytesUp += int64(len(d.request))
 	d.conn.Write(d.request)
-	d.process.loop.Set(&d.timer, d.process.loop.Now()+watchSilence)
+	d.process.loop.Set(&d.timer, d.process.loop.Now()+d.process.timing.Silence)
 }
 
 // announcement is the director's header: who it is, and its quota renewal with the demands of this moment.
@@ -190,7 +181,7 @@
 	traffic.Answers++
 	now := Now()
 	d.silence = max(d.silence, d.silent(now))
-	d.answered, d.retry, d.tried = now, watchRetryMin, 0
+	d.answered, d.retry, d.tried = now, d.process.timing.RetryMin, 0
 	d.take(feed, now)
 	if response.Close {
 		d.close()
--- a/internal/scale/hollow/process.go
+++ b/internal/scale/hollow/process.go
@@ -41,6 +41,7 @@
 // Process is all hollow directors of one process on one loop. All but its control server runs on that loop.
 type Process struct {
 	set       Settings
+	timing    program.WatchTiming
 	loop      *transport.Loop
 	directors []*director
 	count     counters
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{set: set, loop: loop, count: newCounters(set, Now())}
+	p := &Process{set: set, timing: program.TimingOfWatch(len(set.Addresses), true), loop: loop, count: newCounters(set, Now())}
 	if p.control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		loop.Release()
 		return nil, err
@@ -136,7 +137,7 @@
 // watching counts the directors that were answered within the silence limit.
 func (p *Process) watching(now time.Duration) (count int) {
 	for _, d := range p.directors {
-		if d.answered > 0 && now-d.answered < watchSilence {
+		if d.answered > 0 && now-d.answered < p.timing.Silence {
 			count++
 		}
 	}
@@ -161,7 +162,7 @@
 	for _, d := range p.directors {
 		silence := max(d.silence, d.silent(now))
 		r.LongestSilence = max(r.LongestSilence, silence)
-		if silence > program.RollLease {
+		if silence > program.MembershipLease {
 			r.Lapsed++
 		}
 		for cache := range r.PartSums {
--- a/internal/scale/hollow/settings.go
+++ b/internal/scale/hollow/settings.go
@@ -11,24 +11,11 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"time"
 )
 
 // MaxDirectors is the largest number of hollow directors in one process.
 const MaxDirectors = 2000
 
-// Timing of a director that announces itself, see internal/program/discovery.go.
-const (
-	watchPatience  = 100 * time.Millisecond
-	watchSilence   = 2 * watchPatience
-	watchDial      = time.Second            // with one address
-	watchDialMany  = 200 * time.Millisecond // with several
-	watchRetryMin  = 20 * time.Millisecond
-	watchRetryMax  = 500 * time.Millisecond // with one address
-	watchRetryMany = 40 * time.Millisecond  // with several
-	watchSpread    = 2500 * time.Microsecond
-)
-
 // LeastDemand is the smallest demand that a director announces for a cold cache.
 const LeastDemand = 0.001
 
