--- /dev/null
+++ b/internal/relay/session_test.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/membership"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/signals"
+)
+
+const ms = time.Millisecond
+
+var testSettings = Settings{
+	Relay:         membership.Relay{Name: "relay-1", Incarnation: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Machine: "m-1", Site: "s", Region: "north"},
+	Number:        1<<63 + 12345,
+	DirectorLease: 400 * ms,
+	Drift:         0.02,
+}
+
+func announcement(n int) bulletin.Announcement {
+	return bulletin.Announcement{Config: "mark", Director: bulletin.Director{Name: fmt.Sprint("director-", n), Incarnation: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Location: "west", Machine: fmt.Sprint("m-", n)}}
+}
+
+// fakeQuota wants a fixed number of limits and grants what is asked for.
+type fakeQuota struct {
+	limits int
+	taken  []quota.Grant
+}
+
+func (f *fakeQuota) Renewal(time.Duration) quota.Renewal {
+	r := quota.Renewal{Holder: "relay-1/ABCDEFGHIJKLMNOPQRSTUVWXYZ", Seq: 1 << 40, Taken: 1 << 40}
+	for i := range f.limits {
+		r.Wants = append(r.Wants, quota.Want{Limit: fmt.Sprint("cold:cache-", i), Kind: quota.Rate, Demand: 0.123456789})
+	}
+	return r
+}
+func (f *fakeQuota) Take(g quota.Grant, _ time.Duration) { f.taken = append(f.taken, g) }
+func (f *fakeQuota) Renew(r quota.Renewal, _ time.Duration) quota.Grant {
+	return quota.Grant{Holder: r.Holder, Seq: r.Seq}
+}
+func (f *fakeQuota) Sweep(time.Duration) {}
+
+// A steady state of 400 directors takes less than 2 KB a request, also with a few cold caches.
+func TestSteadyRequestIsSmall(t *testing.T) {
+	s, now := New(testSettings, &fakeQuota{}), time.Hour
+	for i := range 400 {
+		s.Heard(announcement(i), 1000, now)
+	}
+	first := s.Request(1000, 1000, now)
+	s.Answered(Answer{Sequence: first.Sequence}, now)
+	if len(first.Joined) != 400 || !first.Full || first.More {
+		t.Fatalf("%d joined, full %v, more %v", len(first.Joined), first.Full, first.More)
+	}
+	for round := range 100 {
+		now += 50 * ms
+		revision := int64(1001 + round)
+		for i := range 400 {
+			s.Heard(announcement(i), revision-1, now)
+		}
+		r := s.Request(revision, revision-1, now)
+		body, err := json.Marshal(r)
+		if err != nil || len(body) > 2000 {
+			t.Fatalf("round %d: %d bytes: %s", round, len(body), body)
+		}
+		if r.Acknowledged != revision-1 || len(r.Stale) > 0 || r.Directors != 400 {
+			t.Fatalf("round %d: %s", round, body)
+		}
+		s.Answered(Answer{Sequence: r.Sequence}, now)
+	}
+}
+
+// A change is repeated until a request with it is answered; an answer to an earlier request, or one that comes again,
+// confirms nothing.
+func TestChangesAreRepeatedUntilAnswered(t *testing.T) {
+	s, now := New(testSettings, nil), time.Hour
+	s.Heard(announcement(1), 5, now)
+	first := s.Request(5, 5, now)
+	second := s.Request(5, 5, now)
+	if s.Answered(Answer{Sequence: first.Sequence}, now); len(second.Joined) != 1 || !second.Full {
+		t.Fatalf("%+v", second)
+	}
+	if third := s.Request(5, 5, now); len(third.Joined) != 1 || !third.Full || third.Answered != 0 {
+		t.Fatalf("an answer to an old request confirmed: %+v", third)
+	}
+	s.Answered(Answer{Sequence: 3}, now)
+	s.Heard(announcement(2), 4, now)
+	fourth := s.Request(5, 5, now)
+	if len(fourth.Joined) != 1 || fourth.Full || fourth.Answered != 3 || fourth.Acknowledged != 4 {
+		t.Fatalf("%+v", fourth)
+	}
+	now += 417 * ms
+	s.Heard(announcement(1), 5, now)
+	s.Answered(Answer{Sequence: 4}, now) // confirms that 2 has joined, and not that it is lost
+	fifth := s.Request(5, 5, now)
+	if len(fifth.Lost) != 1 || len(fifth.Joined) != 0 {
+		t.Fatalf("%+v", fifth)
+	}
+	leaving := announcement(1)
+	leaving.Leaving = true
+	s.Heard(leaving, 5, now)
+	s.Answered(Answer{Sequence: 5, NeedFull: true}, now)
+	if sixth := s.Request(5, 5, now); len(sixth.Left) != 1 || len(sixth.Lost) != 0 || !sixth.Full {
+		t.Fatalf("%+v", sixth)
+	}
+}
+
+// Each table and each message is bounded, and what does not fit into a request is in the next ones.
+func TestBounds(t *testing.T) {
+	s, now := New(testSettings, nil), time.Hour
+	for i := range MaxDirectors + 1 {
+		a := announcement(i)
+		a.Signals, _ = json.Marshal(signals.Report{Holder: a.ID(), Seq: 1, Boxes: []signals.Evidence{{Box: "b", Tried: 1}}})
+		a.Complete = []int64{int64(i), 7}
+		if taken := s.Heard(a, 1, now); taken != (i < MaxDirectors) {
+			t.Fatalf("director %d: taken %v", i, taken)
+		}
+	}
+	joined, reports := map[string]bool{}, 0
+	for n := 0; ; n++ {
+		r := s.Request(10, 10, now)
+		if len(r.Joined) > MaxChanges || len(r.Reports) > MaxReports || len(r.Complete) > 2*256 || r.Full != (n == 0) {
+			t.Fatalf("request %d: %d joined, %d reports, %d completed, full %v", n, len(r.Joined), len(r.Reports), len(r.Complete), r.Full)
+		}
+		for _, d := range r.Joined {
+			joined[d.ID()] = true
+		}
+		reports += len(r.Reports)
+		if s.Answered(Answer{Sequence: r.Sequence}, now); !r.More {
+			break
+		}
+	}
+	if len(joined) != MaxDirectors || reports != MaxQueuedReports {
+		t.Fatalf("%d directors and %d reports", len(joined), reports)
+	}
+	for range 12 { // one acknowledges all, the others nothing
+		now += 100 * ms
+		for i := range MaxDirectors {
+			a := int64(1)
+			if i == 0 {
+				a = 10
+			}
+			s.Heard(announcement(i), a, now)
+		}
+		s.Request(10, 10, now)
+	}
+	if r := s.Request(10, 10, now); r.StaleCount != MaxDirectors-1 || len(r.Stale) != MaxStale || r.Current != 10 || r.Acknowledged != 1 {
+		t.Fatalf("%d stale, %d named, %d of all and %d of the others", r.StaleCount, len(r.Stale), r.Acknowledged, r.Current)
+	}
+}
+
+// Grants and opinions go to each director once.
+func TestGrantsAndOpinions(t *testing.T) {
+	q := &fakeQuota{}
+	s, now := New(testSettings, q), time.Hour
+	a := announcement(1)
+	a.Turns, _ = json.Marshal(quota.Renewal{Holder: a.ID(), Seq: 9})
+	s.Heard(a, 1, now)
+	if g := s.Granted(a.ID()); g == nil || g.Seq != 9 || s.Granted(a.ID()) != nil {
+		t.Fatalf("%+v", g)
+	}
+	r := s.Request(1, 1, now)
+	o := &signals.Opinions{Epoch: 3, Seq: 2, All: []signals.Opinion{{Box: "b", Bad: 1, Machines: 3}}}
+	if !s.Answered(Answer{Sequence: r.Sequence, Grant: &quota.Grant{Seq: 4}, Opinions: o}, now) || len(q.taken) != 1 || q.taken[0].Seq != 4 {
+		t.Fatalf("%+v", q.taken)
+	}
+	if x := s.Opinions(a.ID(), now+100*ms); x == nil || x.All[0].AgeMS != 100 || s.Opinions(a.ID(), now+100*ms) != nil {
+		t.Fatalf("%+v", x)
+	}
+	if r := s.Request(1, 1, now); r.OpinionsEpoch != 3 || r.OpinionsSeq != 2 {
+		t.Fatalf("%+v", r)
+	}
+}
