Record relays as takers of events, and stale directors behind them by name

With thousands of directors behind relays, a record of each director's taking of each event grows with their product.

A relay is one taker, by the lowest revision of its directors that are not stale. Directors that it names as stale count as missing, and one that a relay begins to speak for is no taker of its own any more.

The package's tests pass, a new one among them for relays, stale directors and what is forgotten.

--- a/internal/audit/adoption/adoption.go
+++ b/internal/audit/adoption/adoption.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -19,13 +20,14 @@
 	took   map[int64]map[string]time.Duration // when each director was heard to act by it first
 	acts   map[string]int64
 	gone   map[string]time.Duration // since when one that was heard of is not on the roll
+	stale  map[string][]Stale       // directors that lag behind the relay that speaks for them, by that
 	joined map[string]int64         // the event up to which a director had all when it was heard of first: of those before, nothing is known
 }
 
 // New makes a record of so many last events, that begins after an event.
 func New(keep, after int64) *Record {
 	return &Record{keep: keep, first: after + 1, last: after, told: map[int64]time.Duration{}, took: map[int64]map[string]time.Duration{},
-		acts: map[string]int64{}, joined: map[string]int64{}, gone: map[string]time.Duration{}}
+		acts: map[string]int64{}, joined: map[string]int64{}, gone: map[string]time.Duration{}, stale: map[string][]Stale{}}
 }
 
 // Told tells that all events up to a number are accepted.
@@ -60,6 +62,51 @@
 	}
 }
 
+// RelayTaker is the name under which a relay is recorded, by its ID. A relay takes an event when all of its directors have it
+// that are not stale: so what is kept grows with relays, and not with the directors behind them.
+func RelayTaker(relayID string) string { return relayPrefix + relayID }
+
+// RelayID is the ID of the relay that is recorded under a name; empty if it is a director's.
+func RelayID(taker string) string {
+	if id, is := strings.CutPrefix(taker, relayPrefix); is {
+		return id
+	}
+	return ""
+}
+
+const relayPrefix = "relay:"
+
+// Stale is a director that has acknowledged less than the relay that speaks for it.
+type Stale struct {
+	Director string
+	Revision int64
+}
+
+// Stale names the directors that lag behind a taker now; those that were named before count no more.
+func (r *Record) Stale(taker string, directors []Stale) {
+	if len(directors) == 0 {
+		delete(r.stale, taker)
+		return
+	}
+	r.stale[taker] = slices.Clone(directors)
+}
+
+// Served forgets directors for which a relay speaks from now on; what they took stays recorded.
+func (r *Record) Served(served func(id string) bool) {
+	for id := range r.joined {
+		if served(id) {
+			r.forget(id)
+		}
+	}
+}
+
+func (r *Record) forget(id string) {
+	delete(r.acts, id)
+	delete(r.joined, id)
+	delete(r.gone, id)
+	delete(r.stale, id)
+}
+
 // rememberGone is for how long a director that is not on the roll any more is remembered: it may only be paused, or cut off.
 const rememberGone = 10 * time.Minute
 
@@ -72,9 +119,7 @@
 		case !gone:
 			r.gone[id] = now
 		case now-since > rememberGone:
-			delete(r.acts, id)
-			delete(r.joined, id)
-			delete(r.gone, id)
+			r.forget(id)
 		}
 	}
 }
@@ -122,6 +167,15 @@
 			e.Missing = append(e.Missing, id)
 		}
 	}
+	for taker, stale := range r.stale {
+		for _, s := range stale {
+			if r.gone[taker] == 0 && s.Revision < no {
+				e.Missing = append(e.Missing, s.Director)
+			}
+		}
+	}
+	slices.Sort(e.Missing)
+	e.Missing = slices.Compact(e.Missing)
 	if n := len(e.Taken); n > 0 {
 		e.P50MS, e.P99MS, e.LastMS = e.Taken[n/2].AfterMS, e.Taken[n*99/100].AfterMS, e.Taken[n-1].AfterMS
 	}
--- a/internal/audit/adoption/adoption_test.go
+++ b/internal/audit/adoption/adoption_test.go
@@ -61,3 +61,35 @@
 		}
 	})
 }
+
+// A relay is one taker for all of its directors: those that it names as stale are missing, those that it speaks for are no takers of
+// their own any more, and one that ends is lost with what it did not take.
+func TestRelaysAreTakers(t *testing.T) {
+	r := New(10, 0)
+	taker, gone := RelayTaker("r1/1"), RelayTaker("r2/1")
+	for _, id := range []string{taker, gone, "d1/1", "d2/1"} {
+		r.Heard(id, 0, 0)
+	}
+	r.Told(3, 10*ms)
+	r.Heard(taker, 3, 50*ms)
+	r.Heard("d2/1", 2, 30*ms)
+	r.Stale(taker, []Stale{{"d3/1", 2}, {"d4/1", 0}})
+	r.Served(func(id string) bool { return id == "d1/1" })
+	r.Gone(func(id string) bool { return id != gone }, 60*ms)
+	e, _, _, _ := r.Event(3, 70*ms)
+	if fmt.Sprint(e.Taken, e.Missing, e.Lost) != "[{relay:r1/1 40}] [d2/1 d3/1 d4/1] [relay:r2/1]" {
+		t.Fatalf("%+v", e)
+	}
+	if e, _, _, _ = r.Event(2, 70*ms); fmt.Sprint(e.Missing) != "[d4/1]" || len(e.Taken) != 2 {
+		t.Fatalf("%+v", e)
+	}
+	r.Stale(taker, nil)
+	r.Gone(func(id string) bool { return false }, 80*ms)
+	r.Gone(func(id string) bool { return false }, 80*ms+rememberGone+1)
+	if len(r.acts)+len(r.joined)+len(r.gone)+len(r.stale) != 0 {
+		t.Fatalf("%v, %v", r.acts, r.stale)
+	}
+	if RelayID(taker) != "r1/1" || RelayID("d1/1") != "" {
+		t.Fatal(RelayID(taker), RelayID("d1/1"))
+	}
+}
