Keep directors as members under the sessions of their relays

A director is a member by its own heartbeats only, so each costs the leader a heartbeat every 50 ms, and each look at the membership goes over all of them.

Updates name the registration that the leader gave the session: after a change of the leader, or a session's end, the relay sends a whole list. How long directors lack an event is now counted for each event anew.

--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -233,7 +233,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	versions := k.roll.Versions(f.Revision, now)
+	k.roll.Observe(f.Revision, now)
+	versions := k.roll.Versions()
 	for d := range f.Directors() {
 		v := versions[d.ID()]
 		e := api.RollEntry{Acts: v.At, BehindMS: v.Behind.Milliseconds(), Config: v.Config, Director: *d, Slots: holds[d.ID()], Suspected: k.roll.Suspected(d.ID(), now)}
@@ -309,7 +310,7 @@
 	var c *fleet.RollChange
 	if leads {
 		c = k.roll.Change(f, now)
-		k.roll.Versions(f.Revision, now)
+		k.roll.Observe(f.Revision, now)
 	}
 	var done []fleet.SlotChange
 	for slot, epoch := range k.complete {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -12,14 +12,14 @@
 
 // world is a roll and the history that it is told in.
 type world struct {
-	t    *testing.T
+	t    testing.TB
 	r    *Tracker
 	f    fleet.Fleet
 	now  time.Duration
 	told int
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	return &world{t: t, r: New(Settings{Lease: 400 * ms, Drift: 0.02, Gather: 100 * ms}), now: time.Hour}
 }
 
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -56,6 +56,9 @@
 	// Answered is the sequence of the last request whose answer the relay had when it made this one: all calls of
 	// directors that it took in before that answer was given are in this update or in earlier ones.
 	Answered uint64 `json:"answered,omitempty"`
+	// Registration is the one that the last answer named. An update that was made under another one is not taken: it says
+	// what has changed since a picture of the relay that this leader does not have.
+	Registration uint64 `json:"registration,omitempty"`
 	// Full marks the first update of a whole list: what earlier ones said counts no more. The list ends with the first
 	// update that is not marked More.
 	Full bool `json:"full,omitempty"`
--- a/internal/relay/directors.go
+++ b/internal/relay/directors.go
@@ -15,9 +15,9 @@
 type changeKind int
 
 const (
-	joined changeKind = iota
-	left
+	left changeKind = iota
 	lost
+	joined
 )
 
 // change is what the leader has not confirmed of a director yet.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -40,18 +41,19 @@
 
 // Session is a relay's side of its session with the leader. It is not safe for concurrent use.
 type Session struct {
-	set       Settings
-	quota     Quota // nil: nothing is shared
-	directors map[string]*director
-	changes   map[string]change // not answered yet, by ID
-	sequence  uint64            // of the last request
-	answered  uint64            // the last request whose answer was taken
-	full      bool              // the next request begins a whole list
-	reports   []Report
-	complete  map[int]int64 // epoch by slot
-	opinions  *signals.Teller
-	epoch     int64 // of the opinions
-	seq       uint64
+	set          Settings
+	quota        Quota // nil: nothing is shared
+	directors    map[string]*director
+	changes      map[string]change // not answered yet, by ID
+	sequence     uint64            // of the last request
+	answered     uint64            // the last request whose answer was taken
+	registration uint64            // by that answer
+	full         bool              // the next request begins a whole list
+	reports      []Report
+	complete     map[int]int64 // epoch by slot
+	opinions     *signals.Teller
+	epoch        int64 // of the opinions
+	seq          uint64
 }
 
 // New makes a session without directors. q may be nil.
@@ -153,6 +155,7 @@
 	s.sequence++
 	r := Request{Revision: revision, OpinionsEpoch: s.epoch, OpinionsSeq: s.seq}
 	r.Relay, r.Session, r.Sequence, r.Answered, r.Full = s.set.Relay, s.set.Number, s.sequence, s.answered, s.full
+	r.Registration = s.registration
 	s.addChanges(&r.Update)
 	s.addRevisions(&r.Update, revision, acknowledged, now)
 	if s.quota != nil {
@@ -182,9 +185,13 @@
 	}
 }
 
-// addChanges puts as many changes into an update as one may have. Those that are left over wait.
+// addChanges puts as many changes into an update as one may have, those of directors that are gone first. Those that are left
+// over wait.
 func (s *Session) addChanges(u *membership.Update) {
-	for _, id := range slices.Sorted(maps.Keys(s.changes)) {
+	ids := slices.SortedFunc(maps.Keys(s.changes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.changes[a].kind, s.changes[b].kind), cmp.Compare(a, b))
+	})
+	for _, id := range ids {
 		if len(u.Joined)+len(u.Left)+len(u.Lost) == MaxChanges {
 			u.More = true
 			return
@@ -229,7 +236,7 @@
 	if a.Sequence != s.sequence || a.Sequence == s.answered {
 		return false
 	}
-	s.answered = a.Sequence
+	s.answered, s.registration = a.Sequence, a.Registration
 	if a.Grant != nil && s.quota != nil {
 		s.quota.Take(*a.Grant, now)
 	}
@@ -246,10 +253,10 @@
 	return opinionsChanged
 }
 
-// restart has the next requests carry all directors: the leader does not know the session.
+// restart has the next requests carry all directors: the leader does not know the session. Those that were lost are still
+// named: the leader may not know that the relay has served them.
 func (s *Session) restart() {
 	s.full = true
-	maps.DeleteFunc(s.changes, func(_ string, c change) bool { return c.kind == lost })
 	for id := range s.directors {
 		s.changes[id] = change{kind: joined}
 	}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -103,7 +103,7 @@
 	leaving.Leaving = true
 	s.Heard(leaving, 5, now)
 	s.Answered(Answer{Sequence: 5, NeedFull: true}, now)
-	if sixth := s.Request(5, 5, now); len(sixth.Left) != 1 || len(sixth.Lost) != 0 || !sixth.Full {
+	if sixth := s.Request(5, 5, now); len(sixth.Left) != 1 || len(sixth.Lost) != 1 || !sixth.Full {
 		t.Fatalf("%+v", sixth)
 	}
 }
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -55,6 +55,8 @@
 type Answer struct {
 	Sequence uint64 `json:"sequence"` // of the request
 	NeedFull bool   `json:"need_full,omitempty"`
+	// Registration is to be in the requests from now on.
+	Registration uint64 `json:"registration"`
 	// LeaseMS is the lease in milliseconds, counted from before the request. It is 0 while the relay lacks more events than
 	// one answer holds: it then takes these and asks again at once.
 	LeaseMS  int64             `json:"lease_ms"`
