Answer relays' requests at the leader with leases, events and grants

A relay needs a lease from the leader, the events that it lacks and its share of the quotas in one call, and what its directors have acknowledged must hold up plans as that of replicas' directors does.

POST /v1/relays/lease answers once a barrier has proven that the replica leads; others answer not-leading with the leader's name. The lease is recorded beside those of replicas, and by itself in a control plane without a group. Nothing counts as acknowledged everywhere until leases of an earlier leader are over. stairvane roll lists relays.

--- a/cmd/stairvane-fleet/roll.go
+++ b/cmd/stairvane-fleet/roll.go
@@ -7,6 +7,7 @@
 
 	"github.com/olekukonko/tablewriter"
 
+	"stairvane.org/stairvane/internal/controlplane/api"
 	"stairvane.org/stairvane/internal/signals"
 )
 
@@ -28,7 +29,7 @@
 		return writeJSON(s.out, r)
 	}
 	t := tablewriter.NewWriter(s.out)
-	t.Header("director", "incarnation", "location", "machine", "site", "version", "heard", "claims")
+	t.Header("director", "incarnation", "location", "machine", "site", "version", "heard", "by relay", "claims")
 	for _, d := range r.Directors {
 		heard := fmt.Sprintf("%d ms ago", d.HeardMS)
 		if d.Suspected {
@@ -38,17 +39,41 @@
 		if d.Claims != "" {
 			claims = fmt.Sprintf("decides on %d of 256", d.Slots)
 		}
-		if err := t.Append(d.Name, d.Incarnation[:min(8, len(d.Incarnation))], d.Location, d.Machine, d.Site, d.Version, heard, claims); err != nil {
+		served, _, _ := strings.Cut(d.Relay, "/")
+		if err := t.Append(d.Name, d.Incarnation[:min(8, len(d.Incarnation))], d.Location, d.Machine, d.Site, d.Version, heard, served, claims); err != nil {
 			return err
 		}
 	}
 	if err := t.Render(); err != nil {
 		return err
 	}
+	if err := writeRelays(s, r.Relays); err != nil {
+		return err
+	}
 	_, err = fmt.Fprintf(s.out, "%d directors at event %d; %d parts of the claims are moving\n", len(r.Directors), r.Revision, r.Moving)
 	return err
 }
 
+// writeRelays lists the relays, if there are any.
+func writeRelays(s streams, relays []api.RelayEntry) error {
+	if len(relays) == 0 {
+		return nil
+	}
+	t := tablewriter.NewWriter(s.out)
+	t.Header("relay", "incarnation", "region", "machine", "site", "directors", "acknowledged", "stale", "renewed")
+	for _, r := range relays {
+		directors := fmt.Sprint(r.Directors)
+		if !r.Complete {
+			directors += ", incomplete"
+		}
+		renewed := fmt.Sprintf("%d ms ago", r.RenewedMS)
+		if err := t.Append(r.Name, r.Incarnation[:min(8, len(r.Incarnation))], r.Region, r.Machine, r.Site, directors, r.Acknowledged, r.StaleCount, renewed); err != nil {
+			return err
+		}
+	}
+	return t.Render()
+}
+
 type turnsCmd struct {
 	boardAt
 	output
--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -26,6 +26,7 @@
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
+	"stairvane.org/stairvane/internal/relay"
 	"stairvane.org/stairvane/internal/replica"
 )
 
@@ -75,6 +76,7 @@
 	mux.HandleFunc("POST /v1/applies", b.postApply)
 	mux.HandleFunc("POST /v1/applies/{id}/{order}", b.postOrder)
 	mux.HandleFunc("POST /v1/purges", b.postPurge)
+	mux.HandleFunc("POST "+relay.Path, b.postRelayLease)
 	if b.group != nil {
 		b.group.Mount(mux)
 		mux.HandleFunc("GET /v1/copies", b.getCopies)
@@ -275,7 +277,7 @@
 
 func (b *Server) getWorld(w http.ResponseWriter, _ *http.Request) {
 	world := b.World()
-	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.watches.count(), ToldUpTo: b.watches.acknowledgedRevision()}
+	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.watches.count(), ToldUpTo: b.acknowledgedRevision()}
 	err := b.store.View(func(v *store.View) (err error) {
 		out.Holder, err = v.Holder()
 		return err
--- a/internal/controlplane/api/api.go
+++ b/internal/controlplane/api/api.go
@@ -21,6 +21,7 @@
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/fleet/apply"
 	"stairvane.org/stairvane/internal/fleet/plan"
+	"stairvane.org/stairvane/internal/membership"
 	"stairvane.org/stairvane/internal/quota"
 	"stairvane.org/stairvane/internal/signals"
 )
@@ -143,10 +144,11 @@
 
 // Roll is which directors there are.
 type Roll struct {
-	Revision  int64       `json:"revision"`
-	Directors []RollEntry `json:"directors"`
-	Lost      []LostEntry `json:"lost,omitempty"` // went without a word lately
-	Moving    int         `json:"moving"`         // parts of the claims that their new holders do not have whole yet
+	Revision  int64        `json:"revision"`
+	Directors []RollEntry  `json:"directors"`
+	Relays    []RelayEntry `json:"relays,omitempty"`
+	Lost      []LostEntry  `json:"lost,omitempty"` // went without a word lately
+	Moving    int          `json:"moving"`         // parts of the claims that their new holders do not have whole yet
 }
 
 // LostEntry is a director that has gone without a word.
@@ -156,15 +158,29 @@
 	Acts   int64 `json:"acts"`    // number of the last event that it acted by
 }
 
+// RelayEntry is a relay that has a session with the leader.
+type RelayEntry struct {
+	membership.Relay
+	Directors    int                        `json:"directors"`    // in lease with it
+	RenewedMS    int64                      `json:"renewed_ms"`   // since its last request
+	Acknowledged int64                      `json:"acknowledged"` // the lowest revision of its directors
+	Current      int64                      `json:"current"`      // the same without stale directors
+	BehindMS     int64                      `json:"behind_ms"`    // for how long those have lacked the last event
+	Complete     bool                       `json:"complete"`     // the leader knows all of its directors
+	StaleCount   int                        `json:"stale_count"`
+	Stale        []membership.StaleDirector `json:"stale,omitempty"` // the first of them
+}
+
 // RollEntry is a director on the roll.
 type RollEntry struct {
 	fleet.Director
-	HeardMS   int64  `json:"heard_ms"`  // since it was heard of last
-	Suspected bool   `json:"suspected"` // it misses more than its line usually does
-	Acts      int64  `json:"acts"`      // number of the last event that it acts by
-	BehindMS  int64  `json:"behind_ms"` // for how long it has not acted by the last one that there is
-	Config    string `json:"config"`    // a mark of its configuration: equal where that is
-	Slots     int    `json:"slots"`     // parts of the claims on which it decides
+	Relay     string `json:"relay,omitempty"` // that serves it
+	HeardMS   int64  `json:"heard_ms"`        // since it was heard of last
+	Suspected bool   `json:"suspected"`       // it misses more than its line usually does
+	Acts      int64  `json:"acts"`            // number of the last event that it acts by
+	BehindMS  int64  `json:"behind_ms"`       // for how long it has not acted by the last one that there is
+	Config    string `json:"config"`          // a mark of its configuration: equal where that is
+	Slots     int    `json:"slots"`           // parts of the claims on which it decides
 }
 
 // Copies is what one copy knows of the group that it is in.
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -66,7 +66,8 @@
 func newMembershipService(b *Server) *membershipService {
 	return &membershipService{board: b, stop: make(chan struct{}), ended: make(chan struct{}), here: map[string]*present{}, complete: map[int]int64{}, beats: map[string]quota.Renewal{}, grants: map[string]quota.Grant{}, health: healthReports{teller: signals.NewTeller()},
 		// A copy that is cut off goes on answering directors until its own lease ends, and their leases count from then.
-		roll: membership.New(membership.Settings{Lease: rollLease + b.set.Copies.Lease, Drift: rollDrift, Gather: rollGather})}
+		roll: membership.New(membership.Settings{Lease: rollLease + b.set.Copies.Lease, Drift: rollDrift, Gather: rollGather,
+			Director: rollLease, Session: b.relayLease()})}
 }
 
 // heard takes in what a director says with its call for news.
@@ -235,9 +236,10 @@
 	defer k.mu.Unlock()
 	k.roll.Observe(f.Revision, now)
 	versions := k.roll.Versions()
+	out.Relays = relayEntries(k.roll.Sessions(now))
 	for d := range f.Directors() {
 		v := versions[d.ID()]
-		e := api.RollEntry{Acts: v.At, BehindMS: v.Behind.Milliseconds(), Config: v.Config, Director: *d, Slots: holds[d.ID()], Suspected: k.roll.Suspected(d.ID(), now)}
+		e := api.RollEntry{Relay: v.Relay, Acts: v.At, BehindMS: v.Behind.Milliseconds(), Config: v.Config, Director: *d, Slots: holds[d.ID()], Suspected: k.roll.Suspected(d.ID(), now)}
 		if at, known := k.roll.LastHeard(d.ID()); known {
 			e.HeardMS = (now - at).Milliseconds()
 		}
@@ -304,7 +306,8 @@
 	} else if k.granter != nil {
 		k.granter.Sweep(now)
 		k.health.merger.Sweep(now)
-		k.record.Gone(func(id string) bool { _, known := k.roll.LastHeard(id); return known }, now)
+		k.record.Served(k.roll.Served)
+		k.record.Gone(k.takes, now)
 	}
 	k.leads = leads
 	var c *fleet.RollChange
--- /dev/null
+++ b/internal/controlplane/relays_test.go
@@ -0,0 +1,240 @@
+package controlplane
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/replicas"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/membership"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/relay"
+	"stairvane.org/stairvane/internal/signals"
+)
+
+// testRelay is a relay whose directors call it whenever it calls the leader, and have all events that it has.
+type testRelay struct {
+	t         testing.TB
+	server    *Server
+	session   *relay.Session
+	revision  int64
+	directors []bulletin.Announcement
+	behind    map[string]int64 // directors that acknowledge no more than this, by name
+	last      relay.Request
+	leased    int
+}
+
+func newTestRelay(t testing.TB, b *Server, name string, number uint64, directors int) *testRelay {
+	r := &testRelay{t: t, server: b, behind: map[string]int64{}}
+	r.session = relay.New(relay.Settings{Relay: membership.Relay{Name: name, Incarnation: fmt.Sprint(number), Region: "north"}, Number: number,
+		DirectorLease: rollLease, Drift: rollDrift}, nil)
+	for i := range directors {
+		r.directors = append(r.directors, bulletin.Announcement{Config: "mark", Director: bulletin.Director{Name: fmt.Sprint("d-", i), Incarnation: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Location: "west"}})
+	}
+	return r
+}
+
+func post(t testing.TB, b *Server, body []byte) *httptest.ResponseRecorder {
+	t.Helper()
+	w := httptest.NewRecorder()
+	b.postRelayLease(w, httptest.NewRequest(http.MethodPost, relay.Path, bytes.NewReader(body)))
+	return w
+}
+
+// call makes one request and takes its answer.
+func (r *testRelay) call() relay.Answer {
+	r.t.Helper()
+	now := replicas.Now()
+	for _, d := range r.directors {
+		acknowledged, behind := r.behind[d.Name]
+		if !behind {
+			acknowledged = r.revision
+		}
+		r.session.Heard(d, acknowledged, now)
+	}
+	r.last = r.session.Request(r.revision, r.revision, now)
+	body, err := json.Marshal(r.last)
+	check(r.t, err)
+	w := post(r.t, r.server, body)
+	if w.Code != http.StatusOK {
+		r.t.Fatalf("%d: %s", w.Code, w.Body)
+	}
+	var a relay.Answer
+	check(r.t, json.Unmarshal(w.Body.Bytes(), &a))
+	r.session.Answered(a, replicas.Now())
+	if a.Snapshot != nil {
+		r.revision = a.Snapshot.Revision
+	}
+	for _, e := range a.Events {
+		if e.No != r.revision+1 {
+			r.t.Fatalf("event %d comes after %d", e.No, r.revision)
+		}
+		r.revision = e.No
+	}
+	if a.LeaseMS > 0 {
+		r.leased++
+	}
+	return a
+}
+
+// calls goes on until something holds.
+func (r *testRelay) calls(what string, is func() bool) {
+	r.t.Helper()
+	until(r.t, what, func() bool {
+		r.call()
+		return is()
+	})
+}
+
+// A relay is sent a snapshot and then events, gets a lease once it has all, and its directors become members with one request;
+// they are listed with the relay, and lost after both leases once it is silent.
+func TestRelaySession(t *testing.T) {
+	b, c := start(t, settingsIn(t.TempDir()))
+	for i := range 3 {
+		_, err := c.Purge(fleet.Purge{Object: fmt.Sprintf("%016x", i)})
+		check(t, err)
+	}
+	until(t, "the membership begins", b.membership.settled)
+	r := newTestRelay(t, b, "r1", 7, 40)
+	if a := r.call(); a.Snapshot == nil || a.LeaseMS != 0 || !a.NeedFull {
+		t.Fatalf("%+v", a)
+	}
+	if a := r.call(); a.Snapshot != nil || a.LeaseMS != relay.Lease.Milliseconds() || a.NeedFull || len(r.last.Joined) != 40 {
+		t.Fatalf("%+v after %+v", a, r.last)
+	}
+	members := func() api.Roll { return b.membership.Members() }
+	r.calls("all are members", func() bool { return len(members().Directors) == 40 })
+	m := members()
+	if len(m.Relays) != 1 || m.Relays[0].Directors != 40 || m.Relays[0].Name != "r1" || !m.Relays[0].Complete || m.Directors[0].Relay != "r1/7" || m.Directors[0].Config != "mark" {
+		t.Fatalf("%+v", m)
+	}
+	purged, err := c.Purge(fleet.Purge{Object: "00000000000000ff"})
+	check(t, err)
+	r.calls("the relay has the purge", func() bool { return r.revision >= purged.No })
+	r.calls("the relay is recorded to have taken it", func() bool {
+		e, err := b.membership.Adoption(purged.No)
+		return err == nil && len(e.Taken) == 1 && e.Taken[0].Director == "relay:r1/7" && len(e.Missing) == 0
+	})
+	silent := replicas.Now()
+	until(t, "the directors are gone", func() bool { return len(members().Directors) == 0 })
+	if after := replicas.Now() - silent; after < 600*time.Millisecond || len(members().Lost) != 40 || len(members().Relays) != 0 {
+		t.Fatalf("after %v: %+v", after, members())
+	}
+}
+
+// A purge counts as acknowledged everywhere only when the directors behind relays have it, and the one that lags is named.
+func TestAcknowledgedWaitsForRelays(t *testing.T) {
+	b, c := start(t, settingsIn(t.TempDir()))
+	until(t, "the membership begins", b.membership.settled)
+	r := newTestRelay(t, b, "r1", 7, 3)
+	r.calls("all are members", func() bool { return len(b.membership.Members().Directors) == 3 })
+	r.behind["d-1"] = r.revision
+	r.call()
+	purged, err := c.Purge(fleet.Purge{Object: "00000000000000ff"})
+	check(t, err)
+	r.calls("the director that lags is named", func() bool { return len(r.last.Stale) == 1 })
+	if r.last.Stale[0].ID != r.directors[1].ID() || r.last.Current < purged.No || b.acknowledgedRevision() != r.behind["d-1"] {
+		t.Fatalf("acknowledged %d of %d: %+v", b.acknowledgedRevision(), purged.No, r.last)
+	}
+	e, err := b.membership.Adoption(purged.No)
+	check(t, err)
+	if len(e.Taken) != 1 || !slices.Equal(e.Missing, []string{r.directors[1].ID()}) {
+		t.Fatalf("%+v", e)
+	}
+	for _, d := range b.membership.Members().Directors {
+		if lags := d.Name == "d-1"; lags != (d.Acts < purged.No) || lags != (d.BehindMS > 0) {
+			t.Fatalf("%+v", d)
+		}
+	}
+	delete(r.behind, "d-1")
+	r.calls("all have the purge", func() bool { return b.acknowledgedRevision() >= purged.No })
+}
+
+// Requests that come late, twice or malformed, and too many sessions, are refused; reports are merged and answered.
+func TestRelayRequestsRefused(t *testing.T) {
+	b, _ := start(t, settingsIn(t.TempDir()))
+	until(t, "the membership begins", b.membership.settled)
+	r := newTestRelay(t, b, "r1", 7, 1)
+	r.call()
+	kind := func(body []byte, code int) string {
+		w := post(t, b, body)
+		var e api.Error
+		if err := json.Unmarshal(w.Body.Bytes(), &e); err != nil || w.Code != code {
+			t.Fatalf("%d: %s", w.Code, w.Body)
+		}
+		return e.Kind
+	}
+	body, err := json.Marshal(r.last)
+	check(t, err)
+	if k := kind(body, http.StatusConflict); k != api.Stale {
+		t.Fatal(k)
+	}
+	if k := kind([]byte("{}"), http.StatusBadRequest); k != api.BadRequest {
+		t.Fatal(k)
+	}
+	large := relay.Request{Update: membership.Update{Relay: r.last.Relay, Session: 7, Sequence: 100, Lost: make([]string, membership.MaxUpdateChanges+1)}}
+	body, err = json.Marshal(large)
+	check(t, err)
+	if k := kind(body, http.StatusBadRequest); k != api.BadRequest {
+		t.Fatal(k)
+	}
+	for i := range membership.MaxSessions - 1 {
+		newTestRelay(t, b, fmt.Sprint("x", i), uint64(100+i), 0).call()
+	}
+	full := relay.Request{Update: membership.Update{Relay: membership.Relay{Name: "y", Incarnation: "1"}, Session: 9, Sequence: 1}}
+	body, err = json.Marshal(full)
+	check(t, err)
+	if k := kind(body, http.StatusServiceUnavailable); k != api.Busy {
+		t.Fatal(k)
+	}
+	for i := range 3 {
+		report := signals.Report{Holder: fmt.Sprint("d-", i), Seq: 1, Boxes: []signals.Evidence{{Box: "c-1", Tried: 4, Bad: 4}}}
+		r.directors = append(r.directors, bulletin.Announcement{Director: bulletin.Director{Name: fmt.Sprint("e-", i), Incarnation: "1", Machine: fmt.Sprint("m-", i)}})
+		report.Holder = r.directors[i+1].ID()
+		r.directors[i+1].Signals, err = json.Marshal(report)
+		check(t, err)
+	}
+	r.calls("the relay is sent what is believed of the cache", func() bool {
+		a := r.call()
+		return a.Opinions != nil && len(a.Opinions.All) == 1 && a.Opinions.All[0].Box == "c-1"
+	})
+}
+
+// BenchmarkRelayRequest is what a request in steady state costs the leader, with its JSON, against the directors behind the relay.
+func BenchmarkRelayRequest(b *testing.B) {
+	for _, directors := range []int{50, 100, 200, 400, 800} {
+		b.Run(fmt.Sprint(directors), func(b *testing.B) {
+			s, _ := start(b, settingsIn(b.TempDir()))
+			until(b, "the membership begins", s.membership.settled)
+			r := newTestRelay(b, s, "r1", 7, directors)
+			r.calls("all are members", func() bool { return len(s.membership.Members().Directors) == directors })
+			size := 0
+			for b.Loop() {
+				b.StopTimer()
+				now := replicas.Now()
+				for _, d := range r.directors {
+					r.session.Heard(d, r.revision, now)
+				}
+				q := r.session.Request(r.revision, r.revision, now)
+				body, err := json.Marshal(q)
+				check(b, err)
+				size = len(body)
+				b.StartTimer()
+				w := post(b, s, body)
+				b.StopTimer()
+				var a relay.Answer
+				check(b, json.Unmarshal(w.Body.Bytes(), &a))
+				r.session.Answered(a, now)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(size), "request-bytes")
+		})
+	}
+}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -43,6 +43,7 @@
 	observer   *observer
 	executor   *executor
 	membership *membershipService
+	relays     *relayLeases
 	write      net.Listener
 	server     *http.Server
 	observed   atomic.Pointer[map[string]fleet.Observation]
@@ -80,6 +81,7 @@
 		return b, fmt.Errorf("%s: %w, as copy %s, and the file lists no copies", set.Store, store.ErrNotAlone, i.Name)
 	}
 	b.membership = newMembershipService(b)
+	b.relays = newRelayLeases(b)
 	first, tail := b.store.Tail()
 	log, err := history.New(first, tail, b.store.Fleet(), max(set.Keep, 1000))
 	if err != nil {
--- a/internal/membership/sessions.go
+++ b/internal/membership/sessions.go
@@ -61,7 +61,7 @@
 		r.endList(s, now)
 	}
 	// The relay had the answer to the update before when it made this one, so it made it after that one was taken.
-	if s.complete && !u.More && confirmed {
+	if !u.More && confirmed {
 		s.covered = taken
 	}
 	return Registered{Registration: s.registration}, nil
