--- a/internal/membership/sessions_test.go
+++ b/internal/membership/sessions_test.go
@@ -129,35 +129,63 @@
 	}
 }
 
-// BenchmarkUpdate is what an update in steady state and a look at the membership cost the leader, with 9 relays.
-func BenchmarkUpdate(b *testing.B) {
-	for _, directors := range []int{50, 100, 200, 400, 800} {
-		b.Run(fmt.Sprint(directors), func(b *testing.B) {
-			w := relayWorld(b)
-			var all []*updates
-			for n := range 9 {
-				u := newUpdates(w, uint64(n+1))
-				u.send(none)
-				for i := 0; i < directors; i += 50 {
-					u.send(func(u *Update) {
-						for k := range 50 {
-							u.Joined = append(u.Joined, described(fmt.Sprint("d", n, "-", i+k)))
-						}
-					})
-				}
-				all = append(all, u)
-			}
-			w.look()
-			n := 0
-			for b.Loop() {
-				w.now += 5 * ms
-				all[n%9].send(none)
-				w.r.Observe(w.f.Revision, w.now)
-				if c := w.r.Change(w.f, w.now); c != nil {
-					b.Fatal(c)
-				}
-				n++
-			}
-		})
+// A list that was made for another leader comes late: it is not taken, for what has changed since was said to that one alone.
+func TestListForAnotherLeader(t *testing.T) {
+	w := relayWorld(t)
+	u := newUpdates(w, 1)
+	u.send(none)
+	late := u.Update
+	late.Sequence, late.Full, late.Joined = 2, true, []JoinedDirector{described("a")}
+	w.r.Begin(w.f, w.now)
+	w.now += 700 * ms
+	if got, err := w.r.Update(late, 5, w.now); err != nil || !got.NeedFull || got.Registration == late.Registration {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if c := w.look(); c != nil {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// A director that two relays have lost, of which the second had not yet said that it served it, may have gone on from the second to
+// a third after that had spoken last.
+func TestLostByOneThatItHadNotJoined(t *testing.T) {
+	w := relayWorld(t)
+	first, second, third := newUpdates(w, 1), newUpdates(w, 2), newUpdates(w, 3)
+	all := []*updates{first, second, third}
+	for _, u := range all {
+		u.send(none)
+		u.send(none)
+	}
+	first.send(func(u *Update) { u.Joined = []JoinedDirector{described("a")} })
+	for range 20 {
+		w.now += 50 * ms
+		for _, u := range all {
+			u.send(none)
+		}
+		w.look()
+	}
+	first.send(func(u *Update) { u.Lost = []string{"a/1"} })
+	w.now += 50 * ms
+	third.send(none)
+	third.send(none) // its picture reaches to here
+	w.now += 300 * ms
+	second.send(func(u *Update) { u.Lost = []string{"a/1"} })
+	for range 4 {
+		w.now += 50 * ms
+		first.send(none)
+		second.send(none)
+		if c := w.look(); c != nil {
+			t.Fatalf("the third relay may have it: %+v", c)
+		}
+	}
+	third.send(func(u *Update) { u.Joined = []JoinedDirector{described("a")} })
+	for range 20 {
+		w.now += 50 * ms
+		for _, u := range all {
+			u.send(none)
+		}
+		if c := w.look(); c != nil {
+			t.Fatalf("%+v", c)
+		}
 	}
 }
--- /dev/null
+++ b/internal/relay/model_test.go
@@ -0,0 +1,413 @@
+package relay_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/membership"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/relay"
+	"stairvane.org/stairvane/internal/replica"
+)
+
+const (
+	ms             = time.Millisecond
+	step           = 5 * ms
+	directorLease  = 400 * ms
+	drift          = 0.02
+	departedWithin = 420 * ms // no less than a director's lease with drift
+	goneWithin     = 1800 * ms
+	calls          = 200 * ms // a call is given up after it
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "the first seed of the model")
+	seeds     = flag.Uint64("seeds", 40, "how many seeds")
+)
+
+// clock is a process's own, up to 1 % off.
+type clock struct{ offset, rate float64 }
+
+func (c clock) at(now time.Duration) time.Duration {
+	return time.Duration(c.offset + c.rate*float64(now))
+}
+
+type modelDirector struct {
+	clock
+	bulletin.Director
+	alive, leaving bool
+	ended          time.Duration
+	relay          int
+	calling        int           // number of the call that is under way; 0: none
+	next, giveUp   time.Duration // own clock
+	lease          time.Duration // own clock: until then it may act
+	acknowledged   int64
+	calls          int
+	lapsed         bool          // its lease was over when it called again, and the leader does not know of that call
+	relayed        uint64        // the session that took the call
+	relayedAt      time.Duration // when
+}
+
+type modelRelay struct {
+	clock
+	alive         bool
+	cut, back     time.Duration // from the leader until then; when a dead one is started again
+	session       *relay.Session
+	holder        replica.Holder
+	revision      int64
+	number        uint64
+	asked, called time.Duration
+	waits         uint64 // the request that is under way
+}
+
+// model is a leader, 3 relays and 30 directors with messages that are late, lost and doubled.
+type model struct {
+	t           *testing.T
+	seed        uint64
+	rng         *rand.Rand
+	now         time.Duration
+	calm        bool
+	relays      []*modelRelay
+	directors   []*modelDirector
+	dead        []*modelDirector
+	net         []message
+	fleet       fleet.Fleet
+	tracker     *membership.Tracker
+	leases      *replica.Granter
+	noLeader    time.Duration // until then
+	disturbance time.Duration
+	names       int
+	gone        int
+	worst       time.Duration
+	numbers     uint64
+	failed      bool
+}
+
+type message struct {
+	at      time.Duration
+	deliver func()
+}
+
+func (m *model) clock() clock {
+	return clock{float64(time.Hour) * m.rng.Float64(), 1 + drift/2*(2*m.rng.Float64()-1)}
+}
+
+func (m *model) chance(p float64) bool { return m.rng.Float64() < p }
+
+// send delivers late, not at all or twice. In calm times nothing is lost.
+func (m *model) send(most time.Duration, deliver func()) {
+	loss, double := 0.1, 0.1
+	if m.calm {
+		loss = 0
+	}
+	if m.chance(loss) {
+		return
+	}
+	delay := func(most time.Duration) time.Duration { return time.Duration(m.rng.Int64N(int64(most))) }
+	if m.chance(double) {
+		m.net = append(m.net, message{m.now + delay(10*most), deliver})
+	}
+	if !m.calm && m.chance(0.05) {
+		most *= 10
+	}
+	m.net = append(m.net, message{m.now + delay(most), deliver})
+}
+
+func (m *model) deliver() {
+	due := m.net
+	m.net = nil
+	for _, x := range due {
+		if x.at <= m.now {
+			x.deliver()
+		} else {
+			m.net = append(m.net, x)
+		}
+	}
+}
+
+func (m *model) startDirector(name string) {
+	m.numbers++
+	d := &modelDirector{clock: m.clock(), alive: true, relay: m.rng.IntN(len(m.relays)),
+		Director: bulletin.Director{Name: name, Incarnation: fmt.Sprint(m.numbers)}}
+	m.directors = append(m.directors, d)
+}
+
+func (m *model) startRelay(r *modelRelay, name string) {
+	m.numbers++
+	*r = modelRelay{clock: m.clock(), alive: true, number: m.numbers}
+	r.session = relay.New(relay.Settings{Relay: membership.Relay{Name: name, Incarnation: fmt.Sprint(m.numbers)}, Number: m.numbers,
+		DirectorLease: directorLease, Drift: drift}, nil)
+}
+
+// lead begins another leader's time. It was in the group before and has all events.
+func (m *model) lead() {
+	direct := directorLease // in a control plane without a group, which odd seeds have
+	if m.seed%2 == 0 {
+		direct += relay.Lease
+	}
+	m.tracker = membership.New(membership.Settings{Lease: direct, Director: directorLease, Session: relay.Lease, Drift: drift, Gather: 150 * ms})
+	m.tracker.Begin(m.fleet, m.now)
+	m.leases = replica.NewGranter(replica.Lease{Length: relay.Lease, Drift: drift})
+	m.leases.Lead(true, m.now)
+}
+
+// serves is the leader's side of a request.
+func (m *model) serves(r *modelRelay, q relay.Request, made time.Duration) {
+	if m.now < m.noLeader || m.now < r.cut {
+		return
+	}
+	registered, err := m.tracker.Update(q.Update, m.rng.Uint64(), m.now)
+	if err != nil {
+		return
+	}
+	for _, d := range m.directors {
+		if !registered.NeedFull && !q.More && d.relayed == q.Session && d.relayedAt <= made {
+			d.lapsed = false
+		}
+	}
+	m.leases.Give(q.Session, q.Acknowledged, m.now)
+	answer := relay.Answer{Sequence: q.Sequence, NeedFull: registered.NeedFull, Registration: registered.Registration, LeaseMS: relay.Lease.Milliseconds(), Revision: m.fleet.Revision}
+	number := r.number
+	m.send(30*ms, func() {
+		if !r.alive || r.number != number || m.now < r.cut {
+			return
+		}
+		now := r.at(m.now)
+		r.session.Answered(answer, now)
+		if r.waits == answer.Sequence {
+			r.waits = 0
+			r.revision = max(r.revision, answer.Revision)
+			r.holder.Got(replica.Lease{Length: relay.Lease}, r.asked)
+		}
+	})
+}
+
+func (m *model) runRelay(r *modelRelay) {
+	now := r.at(m.now)
+	if !r.alive || now-r.called < 50*ms || r.waits > 0 && now-r.asked < calls {
+		return
+	}
+	q := r.session.Request(r.revision, r.revision, now)
+	r.asked, r.called, r.waits = now, now, q.Sequence
+	if m.now >= r.cut {
+		made := m.now
+		m.send(30*ms, func() { m.serves(r, q, made) })
+	}
+}
+
+func (m *model) runDirector(d *modelDirector) {
+	now := d.at(m.now)
+	if d.calling > 0 && now > d.giveUp { // its relay is gone, or has let it go
+		d.calling, d.relay = 0, m.rng.IntN(len(m.relays))
+	}
+	if !d.alive || d.calling > 0 || now < d.next {
+		return
+	}
+	if m.chance(0.02) {
+		d.relay = m.rng.IntN(len(m.relays))
+	}
+	d.calls++
+	d.calling, d.giveUp = d.calls, now+100*ms
+	r, number, called, acknowledged := m.relays[d.relay], d.calls, now, d.acknowledged
+	a := bulletin.Announcement{Director: d.Director, Leaving: d.leaving}
+	m.send(20*ms, func() { m.called(d, r, a, number, called, acknowledged) })
+	if d.leaving {
+		d.alive, d.ended = false, m.now
+		m.dead = append(m.dead, d)
+	}
+}
+
+// called is a relay's side of a director's call. A connection carries one call at a time: one that was given up is not read.
+func (m *model) called(d *modelDirector, r *modelRelay, a bulletin.Announcement, number int, called time.Duration, acknowledged int64) {
+	now := r.at(m.now)
+	if !r.alive || !r.holder.Holds(now) || d.calling != number {
+		return
+	}
+	r.session.Heard(a, acknowledged, now)
+	d.lapsed = d.lapsed || called >= d.lease
+	d.relayed, d.relayedAt = r.number, m.now
+	revision := r.revision
+	m.send(20*ms, func() {
+		if d.calling != number || !d.alive {
+			return
+		}
+		own := d.at(m.now)
+		d.calling, d.next = 0, own+time.Duration(m.rng.Int64N(int64(100*ms)))
+		d.acknowledged = max(d.acknowledged, revision)
+		d.lease = max(d.lease, called+directorLease)
+	})
+}
+
+// disturb ends and cuts processes, and makes events.
+func (m *model) disturb() {
+	if m.chance(0.1) {
+		m.append(fleet.Event{Purge: &fleet.Purge{Object: "0123456789abcdef"}})
+	}
+	for i, d := range m.directors {
+		if d.alive && m.chance(0.001) {
+			d.leaving = m.chance(0.3)
+			if !d.leaving {
+				d.alive, d.ended = false, m.now
+				m.dead = append(m.dead, d)
+			}
+		}
+		if !d.alive && m.now-d.ended > 500*ms && m.chance(0.01) {
+			name := d.Name
+			m.directors = append(m.directors[:i], m.directors[i+1:]...)
+			m.startDirector(name)
+			break
+		}
+	}
+	for _, r := range m.relays {
+		switch {
+		case m.calm || !r.alive:
+		case m.chance(0.002):
+			r.alive, r.back = false, m.now+time.Duration(m.rng.Int64N(int64(800*ms)))
+			m.disturbance = m.now
+		case m.chance(0.003):
+			r.cut = m.now + time.Duration(m.rng.Int64N(int64(1500*ms)))
+			m.disturbance = r.cut
+		}
+	}
+	if !m.calm && m.chance(0.003) {
+		m.noLeader = m.now + time.Duration(m.rng.Int64N(int64(250*ms)))
+		m.disturbance = m.noLeader
+		m.lead()
+	}
+}
+
+func (m *model) append(e fleet.Event) {
+	e.No = m.fleet.Revision + 1
+	after, err := m.fleet.Apply(e)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.fleet = after
+}
+
+// inLease tells whether a director may act.
+func (m *model) inLease(d *modelDirector) bool { return d.alive && d.at(m.now) < d.lease }
+
+func (m *model) fail(format string, args ...any) {
+	m.failed = true
+	m.t.Errorf("seed %d at %v: %s", m.seed, m.now, fmt.Sprintf(format, args...))
+}
+
+// announce writes what has changed of the membership, and checks it.
+func (m *model) announce() {
+	if m.now < m.noLeader {
+		return
+	}
+	c := m.tracker.Change(m.fleet, m.now)
+	if c == nil {
+		return
+	}
+	m.append(fleet.Event{Roll: c})
+	m.tracker.Announced(m.now)
+	m.gone += len(c.Gone)
+	for _, id := range c.Gone {
+		for _, d := range m.directors {
+			if d.ID() == id && m.inLease(d) && !d.lapsed {
+				m.fail("%s is announced as gone and in lease", id)
+			}
+		}
+	}
+}
+
+func (m *model) check() {
+	if m.now >= m.noLeader && m.tracker.Settled(m.now) {
+		everywhere := m.leases.Told(m.fleet.Revision, m.now, departedWithin)
+		for _, d := range m.directors {
+			if m.inLease(d) && d.acknowledged < everywhere {
+				m.fail("%s has %d and all are said to have %d", d.ID(), d.acknowledged, everywhere)
+			}
+		}
+	}
+	left := m.dead[:0]
+	for _, d := range m.dead {
+		if m.fleet.Director(d.ID()) == nil && m.now-d.ended > 10*time.Second {
+			continue
+		}
+		left = append(left, d)
+		if m.fleet.Director(d.ID()) == nil {
+			continue
+		}
+		since := m.now - max(d.ended, m.disturbance)
+		if m.worst = max(m.worst, since); since > goneWithin {
+			m.fail("%s ended at %v and is not announced as gone", d.ID(), d.ended)
+		}
+	}
+	m.dead = left
+}
+
+// end checks that after a quiet time the membership is who lives.
+func (m *model) end() {
+	on := 0
+	for range m.fleet.Directors() {
+		on++
+	}
+	alive := 0
+	for _, d := range m.directors {
+		if d.alive {
+			alive++
+			if m.fleet.Director(d.ID()) == nil {
+				m.fail("%s lives and is not a member", d.ID())
+			}
+		}
+	}
+	if on != alive {
+		m.fail("%d members, %d alive", on, alive)
+	}
+}
+
+// A director in lease is never announced as gone, one that has ended is announced within a bound, and the acknowledged revision
+// never exceeds what any director in lease has: whatever becomes of messages, relays and leaders.
+func TestModel(t *testing.T) {
+	gone, worst := 0, time.Duration(0)
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		m := &model{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 5)), now: time.Hour, disturbance: time.Hour}
+		m.lead()
+		for i := range 3 {
+			m.relays = append(m.relays, &modelRelay{})
+			m.startRelay(m.relays[i], fmt.Sprint("relay-", i))
+		}
+		for i := range 30 {
+			m.startDirector(fmt.Sprint("d", i))
+		}
+		for m.now < time.Hour+15*time.Second && !m.failed {
+			m.now += step
+			m.calm = m.now%(5*time.Second) > 2500*ms
+			m.deliver()
+			if m.now < time.Hour+13*time.Second {
+				m.disturb()
+			}
+			for i, r := range m.relays {
+				if !r.alive && m.now > r.back {
+					m.startRelay(r, fmt.Sprint("relay-", i))
+				}
+			}
+			for _, r := range m.relays {
+				m.runRelay(r)
+			}
+			for _, d := range m.directors {
+				m.runDirector(d)
+			}
+			if m.now%(25*ms) == 0 {
+				m.announce()
+			}
+			m.check()
+		}
+		if !m.failed {
+			m.end()
+		}
+		gone, worst = gone+m.gone, max(worst, m.worst)
+	}
+	t.Logf("seeds %d to %d: %d announced as gone, at the latest after %v", *firstSeed, *firstSeed+*seeds-1, gone, worst)
+	if gone == 0 {
+		t.Error("no director ended")
+	}
+}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -174,3 +174,15 @@
 		t.Fatalf("%+v", r)
 	}
 }
+
+// A director is lost once its lease is over by any clock that runs apart by no more than the drift, and not before.
+func TestLostAfterTheLease(t *testing.T) {
+	s, now := New(testSettings, nil), time.Hour
+	s.Heard(announcement(1), 1, now)
+	if r := s.Request(1, 1, now+416*ms); len(r.Lost) != 0 || r.Directors != 1 {
+		t.Fatalf("%+v", r)
+	}
+	if r := s.Request(1, 1, now+416*ms+1); len(r.Lost) != 1 || r.Directors != 0 {
+		t.Fatalf("%+v", r)
+	}
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -40,7 +40,7 @@
 	// OpinionsEpoch and OpinionsSeq name the opinions of caches that the relay has.
 	OpinionsEpoch int64          `json:"opinions_epoch,omitempty"`
 	OpinionsSeq   uint64         `json:"opinions_seq,omitempty"`
-	Quota         *quota.Renewal `json:"quota,omitempty"`
+	Quota         *quota.Renewal `json:"quota,omitempty"`    // its holder is the relay's ID
 	Complete      []int64        `json:"complete,omitempty"` // slot and epoch, in turn, of which all homes have everything
 	Reports       []Report       `json:"reports,omitempty"`
 }
