Test directors that move between relays and replicas

The model has relays only, so the wait for a replica that a lost director went on to could be taken out unnoticed.

A deterministic test has one director lost by its relay, and one that goes back to a replica after an hour under a relay.

--- a/internal/membership/sessions_test.go
+++ b/internal/membership/sessions_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"stairvane.org/stairvane/internal/fleet"
 )
@@ -189,3 +190,33 @@
 		}
 	}
 }
+
+// One that a relay has lost may have gone on to a replica that has not said so yet: it is given a replica's lease. One that comes back
+// to a replica after an hour is gone after the same time as any.
+func TestBetweenRelaysAndReplicas(t *testing.T) {
+	w := relayWorld(t)
+	u := newUpdates(w, 1)
+	u.send(none)
+	u.send(func(u *Update) { u.Joined = []JoinedDirector{described("a"), described("b")} })
+	w.hear("b", "1", false)
+	for range 3600 * 20 {
+		w.now += 50 * ms
+		u.send(none)
+	}
+	w.look()
+	u.send(func(u *Update) { u.Lost = []string{"a/1", "b/1"} })
+	w.hear("b", "1", false)
+	gone := map[string]time.Duration{}
+	for since := time.Duration(0); since < time.Second; since += 4 * ms {
+		u.send(none)
+		if c := w.look(); c != nil {
+			for _, id := range c.Gone {
+				gone[id] = since
+			}
+		}
+		w.now += 4 * ms
+	}
+	if gone["a/1"] < 208*ms || gone["a/1"] > 320*ms || gone["b/1"] < 624*ms || gone["b/1"] > 760*ms {
+		t.Fatalf("%v", gone)
+	}
+}
