Move the watch server into a package of its own

Cause: a relay is to serve the same watch protocol as a replica, and the server of it was part of the control plane's process.

Change: internal/controlplane/watch holds the server; it sees its process as watch.Owner (lease, requests, grants, opinions, clock). The control plane implements that. Nothing of its behaviour changes.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -275,7 +275,7 @@
 
 func (b *Server) getWorld(w http.ResponseWriter, _ *http.Request) {
 	world := b.World()
-	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.watches.count(), ToldUpTo: b.watches.acknowledgedRevision()}
+	out := api.World{Fleet: world.Dump(), Observed: world.Observed, NowMS: world.NowMS, Observer: b.observer.on(), Followers: b.watches.Count(), ToldUpTo: b.acknowledgedRevision()}
 	err := b.store.View(func(v *store.View) (err error) {
 		out.Holder, err = v.Holder()
 		return err
--- a/internal/controlplane/bench_test.go
+++ b/internal/controlplane/bench_test.go
@@ -70,7 +70,7 @@
 				defer conn.Close()
 				go followPlainly(conn, &acks)
 			}
-			until(b, "all follow", func() bool { return board.watches.count() == followers })
+			until(b, "all follow", func() bool { return board.watches.Count() == followers })
 			took := make([]time.Duration, 0, b.N)
 			goroutines := runtime.NumGoroutine()
 			b.ResetTimer()
@@ -78,7 +78,7 @@
 				check(b, appendPurge(board.store, int64(i)))
 				from := time.Now()
 				last := board.store.Fleet().Revision
-				for board.watches.acknowledgedRevision() < last {
+				for board.acknowledgedRevision() < last {
 					time.Sleep(20 * time.Microsecond)
 				}
 				took = append(took, time.Since(from))
--- a/internal/controlplane/board_test.go
+++ b/internal/controlplane/board_test.go
@@ -154,7 +154,7 @@
 	for range 2 {
 		directors = append(directors, director(t, addr.String()))
 	}
-	until(t, "the directors follow", func() bool { return b.watches.count() == 2 })
+	until(t, "the directors follow", func() bool { return b.watches.Count() == 2 })
 	load := make(chan standin.Tally, 2)
 	for _, d := range directors {
 		go func() {
@@ -176,7 +176,7 @@
 		if m != nil && m.State == fleet.Terminating && drained == 0 {
 			drained = b.store.Fleet().Revision
 		}
-		return drained > before && b.watches.acknowledgedRevision() >= drained
+		return drained > before && b.acknowledgedRevision() >= drained
 	})
 	told := time.Now() // both directors have asked for what comes after the drain
 	a := <-done
@@ -468,5 +468,5 @@
 		}
 		conn.Close()
 	}
-	until(t, "all are gone", func() bool { return b.watches.count() == 0 })
+	until(t, "all are gone", func() bool { return b.watches.Count() == 0 })
 }
--- a/internal/controlplane/exec.go
+++ b/internal/controlplane/exec.go
@@ -176,7 +176,7 @@
 }
 
 func (x *executor) input() apply.Input {
-	told := x.board.watches.acknowledgedRevision()
+	told := x.board.acknowledgedRevision()
 	return apply.Input{World: x.board.World(), Told: func(no int64) bool { return no <= told }, Looks: x.board.observer.on()}
 }
 
--- a/internal/controlplane/health.go
+++ b/internal/controlplane/health.go
@@ -23,7 +23,7 @@
 // spread answers the directors at once that wait here and share in what is seen of boxes, if that has changed.
 func (k *membershipService) spread(o signals.Opinions, now time.Duration) {
 	if k.health.teller.Take(o, now) {
-		k.board.loop.Post(k.board.watches.tellOpinions)
+		k.board.loop.Post(k.board.watches.PublishOpinions)
 	}
 }
 
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -95,7 +95,7 @@
 		return
 	}
 	k.beats[b.Holder] = b
-	if k.granter != nil && k.board.watches.hasLease() { // proven to lead a moment ago; else another may have granted since
+	if k.granter != nil && k.board.hasLease() { // proven to lead a moment ago; else another may have granted since
 		k.grants[b.Holder] = k.granter.Renew(b, now)
 		delete(k.beats, b.Holder)
 	}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -20,6 +20,7 @@
 	"stairvane.org/stairvane/internal/controlplane/history"
 	"stairvane.org/stairvane/internal/controlplane/replicas"
 	"stairvane.org/stairvane/internal/controlplane/store"
+	"stairvane.org/stairvane/internal/controlplane/watch"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/opfile"
 	"stairvane.org/stairvane/internal/transport"
@@ -39,7 +40,7 @@
 	set        opfile.Board
 	store      *store.Store
 	loop       *transport.Loop
-	watches    *watchServer
+	watches    *watch.Server
 	observer   *observer
 	executor   *executor
 	membership *membershipService
@@ -122,7 +123,7 @@
 
 // join makes the board a copy of its group.
 func (b *Server) join(opt Options) (*replicas.Group, error) {
-	set := replicas.Settings{Copies: b.set.Copies, Batch: b.set.Batch, Found: opt.Found, Lead: b.executor.lead, Whole: b.replaced, Acknowledged: b.watches.ownAcknowledged, Heartbeats: b.membership.Heartbeats, TakeHeartbeats: b.membership.TakeHeartbeats, Grant: b.membership.Grant, TakeLeaseAnswer: b.membership.TakeShares,
+	set := replicas.Settings{Copies: b.set.Copies, Batch: b.set.Batch, Found: opt.Found, Lead: b.executor.lead, Whole: b.replaced, Acknowledged: b.watches.Acknowledged, Heartbeats: b.membership.Heartbeats, TakeHeartbeats: b.membership.TakeHeartbeats, Grant: b.membership.Grant, TakeLeaseAnswer: b.membership.TakeShares,
 		Within: func() time.Duration {
 			return time.Duration(b.store.Fleet().Rules().ToldWithinMS) * time.Millisecond
 		}}
@@ -148,7 +149,7 @@
 			b.Stop()
 			return
 		}
-		b.watches.replace(log, f)
+		b.watches.Replace(log, f)
 		b.observer.renew(f)
 	})
 }
@@ -165,7 +166,7 @@
 func (b *Server) Leads() bool { return b.group == nil || b.group.Leads() }
 
 // Addr is where directors follow.
-func (b *Server) Addr() (netip.AddrPort, error) { return b.watches.listener.Addr() }
+func (b *Server) Addr() (netip.AddrPort, error) { return b.watches.Addr() }
 
 // WriteAddr is where changes are taken.
 func (b *Server) WriteAddr() net.Addr { return b.write.Addr() }
@@ -180,7 +181,7 @@
 	f := b.store.Fleet()
 	b.membership.committed(f.Revision)
 	b.post(func() {
-		b.watches.publish(events, f)
+		b.watches.Publish(events, f)
 		b.observer.follow(events)
 	})
 }
--- /dev/null
+++ b/internal/controlplane/watch/watcher.go
@@ -0,0 +1,201 @@
+package watch
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/transport"
+)
+
+// watcher is one connection of a director's.
+type watcher struct {
+	server  *Server
+	conn    *transport.Conn
+	peer    netip.Addr
+	id      int64
+	call    bulletin.Call
+	waiting bool
+	ended   bool
+	timer   transport.Timer
+}
+
+// Opened implements transport.Handler.
+func (c *watcher) Opened() {}
+
+// Flushed implements transport.Handler.
+func (c *watcher) Flushed() {}
+
+// Closed implements transport.Handler.
+func (c *watcher) Closed(err error) {
+	if !errors.Is(err, io.EOF) && !c.ended {
+		slog.Info("follower.lost", "addr", c.peer.String(), "err", err)
+	}
+	c.timer.Stop()
+	c.leave()
+}
+
+// close ends the connection without an answer.
+func (c *watcher) close() {
+	c.conn.Close()
+	c.leave()
+}
+
+func (c *watcher) leave() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.timer.Stop()
+	s := c.server
+	delete(s.watchers, c)
+	s.mu.Lock()
+	s.tracker.Leave(c.id, s.last, s.owner.ClockMS())
+	s.mu.Unlock()
+	s.owner.AcknowledgedChanged()
+}
+
+// due ends a wait with what there is, or a connection on which no call comes.
+func (c *watcher) due() {
+	if c.waiting {
+		c.answer()
+		return
+	}
+	c.close()
+}
+
+// Data implements transport.Handler.
+func (c *watcher) Data(b []byte) (used, need int, err error) {
+	if c.ended {
+		return len(b), 0, nil
+	}
+	call, used, need, err := bulletin.ParseCall(b)
+	if err == nil && (c.waiting || used > 0 && used < len(b)) {
+		err = &bulletin.CallError{Status: 400, Message: "a second call before the answer to the first"}
+	}
+	var refused *bulletin.CallError
+	if errors.As(err, &refused) {
+		slog.Info("follower.malformed", "addr", c.peer.String(), "err", refused.Message)
+		c.leave()
+		c.refuse(refused.Status)
+		return len(b), 0, nil
+	}
+	if used == 0 {
+		return 0, need, nil
+	}
+	c.call = call
+	c.ask()
+	return used, 0, nil
+}
+
+// personal is what ends the answer to a director that shares in quotas, or in what is seen of caches; nil if there is nothing.
+func (c *watcher) personal() []byte {
+	if c.call.Announce == nil {
+		return nil
+	}
+	var out []byte
+	add := func(name string, v any) {
+		if b, err := json.Marshal(v); err == nil {
+			out = append(append(out, `,"`+name+`":`...), b...)
+		}
+	}
+	owner := c.server.owner
+	if g := owner.Granted(c.call.Announce.ID()); g != nil {
+		add("turns", g)
+	}
+	if len(c.call.Announce.Signals) > 0 {
+		if o := owner.Opinions(c.call.Announce.ID()); o != nil {
+			add("signals", o)
+		}
+	}
+	if out == nil {
+		return nil
+	}
+	return append(out, '}')
+}
+
+// wantsMembers tells whether the watcher announces itself and has nothing of the membership, though there is one.
+func (c *watcher) wantsMembers() bool {
+	return c.call.Announce != nil && c.call.Announce.Roll == 0 && c.server.log.HasRoll()
+}
+
+// refuse answers with an error and ends the connection once that is taken.
+func (c *watcher) refuse(status int) {
+	c.ended = true
+	body := []byte(`{"no":0,"items":[]}`)
+	c.conn.Write(bulletin.AppendHead(nil, status, len(body), true), body)
+	c.conn.CloseAfterFlush(0)
+	c.timer.Fire = c.conn.Close // if it does not close itself
+	c.server.loop.Set(&c.timer, c.server.loop.Now()+refusalTimeout)
+}
+
+func (c *watcher) ask() {
+	s := c.server
+	if !s.owner.HasLease() { // it may have run out while the process was paused
+		c.close()
+		return
+	}
+	if c.call.After > s.log.Last() {
+		slog.Warn("follower.ahead", "addr", c.peer.String(), "after", c.call.After, "last", s.log.Last())
+	}
+	s.mu.Lock()
+	s.tracker.Ack(c.id, c.call.After)
+	behind := c.call.After < s.last || c.wantsMembers()
+	s.mu.Unlock()
+	if a := c.call.Announce; a != nil {
+		s.owner.Request(*a, c.call.After)
+	}
+	if !behind {
+		s.owner.AcknowledgedChanged()
+	}
+	c.waiting = true
+	if behind {
+		c.answer()
+		return
+	}
+	s.loop.Set(&c.timer, s.loop.Now()+time.Duration(c.call.PatienceMS)*time.Millisecond)
+}
+
+// answer ends the wait with what is new, if anything is.
+func (c *watcher) answer() {
+	s := c.server
+	if !s.owner.HasLease() {
+		c.close()
+		return
+	}
+	after, announced := c.call.After, c.call.Announce != nil
+	if c.wantsMembers() {
+		after = 0 // the membership as a whole comes with the whole list
+	}
+	parts, size, err := s.log.Answer(after, announced)
+	if err != nil {
+		slog.Error("board.history_broken", "err", err)
+		c.close()
+		return
+	}
+	if parts == nil {
+		empty := append(bulletin.Opening(max(s.log.Last(), 0)), bulletin.Closing...)
+		parts, size = [][]byte{empty}, len(empty)
+	}
+	if personal := c.personal(); personal != nil { // the last part ends the answer
+		last := parts[len(parts)-1]
+		parts = append(append([][]byte(nil), parts[:len(parts)-1]...), last[:len(last)-1], personal)
+		size += len(personal) - 1
+	}
+	c.waiting = false
+	s.head = bulletin.AppendHead(s.head[:0], 200, size, c.call.Close)
+	c.conn.Write(append([][]byte{s.head}, parts...)...)
+	switch {
+	case c.call.Close:
+		c.conn.CloseAfterFlush(0)
+	case c.conn.Queued() > maxQueued:
+		slog.Warn("follower.stuck", "addr", c.peer.String(), "queued_bytes", c.conn.Queued())
+		c.close()
+		return
+	}
+	s.loop.Set(&c.timer, s.loop.Now()+callTimeout)
+}
--- /dev/null
+++ b/internal/controlplane/watchowner.go
@@ -0,0 +1,63 @@
+package controlplane
+
+import (
+	"log/slog"
+
+	"stairvane.org/stairvane/internal/controlplane/history"
+	"stairvane.org/stairvane/internal/controlplane/watch"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/signals"
+)
+
+const maxWatchers = 8192
+
+// watchOwner is the control plane as its watch server sees it.
+type watchOwner struct{ server *Server }
+
+func newWatchServer(b *Server, log *history.Log) (*watch.Server, error) {
+	set := watch.Settings{Listen: b.set.Listen, Allowed: b.set.Followers, MaxWatchers: maxWatchers}
+	return watch.New(b.loop, set, watchOwner{b}, log, b.store.Fleet().Rules().ToldWithinMS)
+}
+
+// hasLease tells whether the process may have watchers: a replica may under its lease alone, for it may be cut off from the
+// others and not know of it.
+func (b *Server) hasLease() bool { return b.group == nil || b.group.Holds() }
+
+// acknowledgedRevision is the revision up to which every director has all events, those of other replicas included.
+func (b *Server) acknowledgedRevision() int64 {
+	if b.group != nil {
+		return b.group.Acknowledged()
+	}
+	return b.watches.Acknowledged()
+}
+
+// HasLease implements watch.Owner.
+func (o watchOwner) HasLease() bool { return o.server.hasLease() }
+
+// Request implements watch.Owner.
+func (o watchOwner) Request(a bulletin.Announcement, acknowledged int64) {
+	o.server.membership.heard(a, acknowledged)
+}
+
+// Granted implements watch.Owner.
+func (o watchOwner) Granted(directorID string) *quota.Grant {
+	return o.server.membership.granted(directorID)
+}
+
+// Opinions implements watch.Owner.
+func (o watchOwner) Opinions(directorID string) *signals.Opinions {
+	return o.server.membership.opinions(directorID)
+}
+
+// AcknowledgedChanged implements watch.Owner.
+func (o watchOwner) AcknowledgedChanged() { o.server.executor.wake() }
+
+// ClockMS implements watch.Owner.
+func (o watchOwner) ClockMS() int64 { return o.server.clock() }
+
+// Failed implements watch.Owner.
+func (o watchOwner) Failed(err error) {
+	slog.Error("board.history_broken", "err", err)
+	o.server.Stop()
+}
