Gather events for a watcher that was answered a moment ago

Cause: 21 purges a second, each answered alone, more than double every director's calls.

Change: watch.Settings.Gather holds a watcher's next answer with something new back until that time has passed since the last one; an event after a quiet time is answered at once, and no wait grows beyond the caller's patience. A server can also drain: it takes no new watchers and closes those it has, spread over a time. A request for which the owner has no room is refused with 503.

--- /dev/null
+++ b/internal/controlplane/watch/drain.go
@@ -0,0 +1,49 @@
+package watch
+
+import (
+	"log/slog"
+	"time"
+
+	"stairvane.org/stairvane/internal/transport"
+)
+
+const drainInterval = 20 * time.Millisecond
+
+// drain is a server's closing of its watchers before the process ends.
+type drain struct {
+	server    *Server
+	first     int // watchers at the beginning
+	steps     int
+	stepsLeft int
+	timer     transport.Timer
+	done      func()
+}
+
+// Drain takes no new watchers and closes those that there are, spread evenly over a time, so that they do not all call elsewhere
+// at one moment. done runs on the loop when none is left.
+func (s *Server) Drain(over time.Duration, done func()) {
+	slog.Info("followers.drain", "followers", len(s.watchers), "over_ms", over.Milliseconds())
+	steps := max(1, int(over/drainInterval))
+	d := &drain{server: s, first: len(s.watchers), steps: steps, stepsLeft: steps, done: done}
+	d.timer.Fire = d.step
+	d.step()
+}
+
+// step closes the part of the watchers that is due.
+func (d *drain) step() {
+	s := d.server
+	closed := s.listener.Close() // false where descriptors ran out: it is tried again with the next step
+	d.stepsLeft = max(0, d.stepsLeft-1)
+	may := d.first * d.stepsLeft / d.steps
+	for c := range s.watchers {
+		if len(s.watchers) <= may {
+			break
+		}
+		c.close()
+	}
+	if closed && len(s.watchers) == 0 {
+		d.done()
+		return
+	}
+	s.loop.Set(&d.timer, s.loop.Now()+drainInterval)
+}
--- a/internal/controlplane/watch/server.go
+++ b/internal/controlplane/watch/server.go
@@ -31,8 +31,9 @@
 type Owner interface {
 	// HasLease tells whether the process may have watchers at this moment.
 	HasLease() bool
-	// Request takes in what a director says of itself with a call, and the revision up to which it has all events.
-	Request(announcement bulletin.Announcement, acknowledged int64)
+	// Request takes in what a director says of itself with a call, and the revision up to which it has all events. False means
+	// that the process has no room for the director, which is then refused.
+	Request(announcement bulletin.Announcement, acknowledged int64) bool
 	// Granted is the grant for a director, once; nil if there is none.
 	Granted(directorID string) *quota.Grant
 	// Opinions are those on caches that a director is to be sent now; nil if nothing is new to it.
@@ -50,6 +51,9 @@
 	Listen      netip.AddrPort
 	Allowed     *bart.Lite // addresses that may watch; nil: loopback alone
 	MaxWatchers int        // connections at one time
+	// Gather is for how long after an answer with something new a watcher gets no further one, so that many events in a row
+	// cost it few calls. An event after a quiet time is answered at once. 0: every event is.
+	Gather time.Duration
 }
 
 // Server serves watches: one connection, one long poll, and no goroutine for any of them.
@@ -129,7 +133,7 @@
 	s.mu.Unlock()
 	for c := range s.watchers {
 		if c.waiting {
-			c.answer()
+			c.offer()
 		}
 	}
 	s.owner.AcknowledgedChanged()
@@ -139,7 +143,7 @@
 func (s *Server) PublishOpinions() {
 	for c := range s.watchers {
 		if c.waiting && c.call.Announce != nil && len(c.call.Announce.Signals) > 0 {
-			c.answer()
+			c.offer()
 		}
 	}
 }
--- a/internal/controlplane/watch/watcher.go
+++ b/internal/controlplane/watch/watcher.go
@@ -21,7 +21,9 @@
 	call    bulletin.Call
 	waiting bool
 	ended   bool
-	timer   transport.Timer
+	timer   transport.Timer // ends the wait, or a connection on which no call comes
+	until   time.Duration   // when the wait ends at the latest, by the loop's clock
+	ready   time.Duration   // when something new may be answered again
 }
 
 // Opened implements transport.Handler.
@@ -93,11 +95,11 @@
 }
 
 // personal is what ends the answer to a director that shares in quotas, or in what is seen of caches; nil if there is nothing.
-func (c *watcher) personal() []byte {
+// It tells whether there are opinions in it.
+func (c *watcher) personal() (out []byte, opinions bool) {
 	if c.call.Announce == nil {
-		return nil
+		return nil, false
 	}
-	var out []byte
 	add := func(name string, v any) {
 		if b, err := json.Marshal(v); err == nil {
 			out = append(append(out, `,"`+name+`":`...), b...)
@@ -110,12 +112,13 @@
 	if len(c.call.Announce.Signals) > 0 {
 		if o := owner.Opinions(c.call.Announce.ID()); o != nil {
 			add("signals", o)
+			opinions = true
 		}
 	}
 	if out == nil {
-		return nil
+		return nil, false
 	}
-	return append(out, '}')
+	return append(out, '}'), opinions
 }
 
 // wantsMembers tells whether the watcher announces itself and has nothing of the membership, though there is one.
@@ -146,18 +149,33 @@
 	s.tracker.Ack(c.id, c.call.After)
 	behind := c.call.After < s.last || c.wantsMembers()
 	s.mu.Unlock()
-	if a := c.call.Announce; a != nil {
-		s.owner.Request(*a, c.call.After)
+	if a := c.call.Announce; a != nil && !s.owner.Request(*a, c.call.After) {
+		slog.Warn("follower.turned_away", "followers", len(s.watchers))
+		c.leave()
+		c.refuse(503)
+		return
 	}
 	if !behind {
 		s.owner.AcknowledgedChanged()
 	}
 	c.waiting = true
+	c.until = s.loop.Now() + time.Duration(c.call.PatienceMS)*time.Millisecond
+	s.loop.Set(&c.timer, c.until)
 	if behind {
+		c.offer()
+	}
+}
+
+// offer answers with what is new, or has the timer do so where the last such answer was a moment ago.
+func (c *watcher) offer() {
+	s := c.server
+	if c.ready <= s.loop.Now() {
 		c.answer()
 		return
 	}
-	s.loop.Set(&c.timer, s.loop.Now()+time.Duration(c.call.PatienceMS)*time.Millisecond)
+	if c.ready < c.until {
+		s.loop.Set(&c.timer, c.ready)
+	}
 }
 
 // answer ends the wait with what is new, if anything is.
@@ -177,11 +195,16 @@
 		c.close()
 		return
 	}
-	if parts == nil {
+	changed := parts != nil
+	if !changed {
 		empty := append(bulletin.Opening(max(s.log.Last(), 0)), bulletin.Closing...)
 		parts, size = [][]byte{empty}, len(empty)
 	}
-	if personal := c.personal(); personal != nil { // the last part ends the answer
+	personal, opinions := c.personal()
+	if changed || opinions {
+		c.ready = s.loop.Now() + s.set.Gather
+	}
+	if personal != nil { // the last part ends the answer
 		last := parts[len(parts)-1]
 		parts = append(append([][]byte(nil), parts[:len(parts)-1]...), last[:len(last)-1], personal)
 		size += len(personal) - 1
--- a/internal/controlplane/watchowner.go
+++ b/internal/controlplane/watchowner.go
@@ -36,8 +36,9 @@
 func (o watchOwner) HasLease() bool { return o.server.hasLease() }
 
 // Request implements watch.Owner.
-func (o watchOwner) Request(a bulletin.Announcement, acknowledged int64) {
+func (o watchOwner) Request(a bulletin.Announcement, acknowledged int64) bool {
 	o.server.membership.heard(a, acknowledged)
+	return true
 }
 
 // Granted implements watch.Owner.
