Read the form of a relay in the operator's file

Cause: a relay needs its name, place, the write sides of all replicas, who may watch, and its bounds.

Measured: go test ./internal/opfile passes.

--- a/internal/opfile/program.go
+++ b/internal/opfile/program.go
@@ -94,12 +94,13 @@
 type Program struct {
 	Board    Board
 	Director Director
+	Relay    Relay
 }
 
 // ReadProgram reads the program's file.
 func ReadProgram(name string, read ReadFile) (Program, sexpr.Faults) {
 	d := &decoder{}
-	p := Program{Board: Board{SnapshotEvery: 10_000, Keep: 10_000, Batch: 256, ClaimCopies: 2}, Director: Director{Cores: 1, Divide: "connection"}}
+	p := Program{Board: Board{SnapshotEvery: 10_000, Keep: 10_000, Batch: 256, ClaimCopies: 2}, Director: Director{Cores: 1, Divide: "connection"}, Relay: DefaultRelay()}
 	text, err := read(name)
 	if err != nil {
 		return p, sexpr.Faults{{File: name, Line: 1, Col: 1, Message: "can't be read: " + err.Error()}}
@@ -115,10 +116,11 @@
 		}
 	}
 	if len(items) == 0 && len(faults) == 0 {
-		d.fault(top, "", "nothing is set: (board ...) or (director ...) is wanted")
+		d.fault(top, "", "nothing is set: (board ...), (director ...) or (relay ...) is wanted")
 	}
 	d.forms(top, "", items, []form{
 		{name: "board", read: d.board(&p.Board, filepath.Dir(name))},
+		{name: "relay", read: d.relay(&p.Relay, filepath.Dir(name))},
 		{name: "director", read: func(n *sexpr.Node, args []*sexpr.Node, key string) {
 			d.forms(n, key+".", args, []form{
 				{name: "cores", read: d.integer(&p.Director.Cores, 1, 256)},
