Run a relay: watches for directors, one session with the leader

Cause: directors each cost the leader a call every 50 ms or 100 ms; a relay speaks for some hundred of them at once.

Change: internal/controlplane/relay is the process: a loop with the watch server, the event log in memory, and one goroutine that calls the leader at the write sides of all replicas.

--- a/cmd/stairvane-fleet/cli.go
+++ b/cmd/stairvane-fleet/cli.go
@@ -19,6 +19,7 @@
 type cli struct {
 	Director directorCmd `cmd:"" help:"Run a director on as many cores as the program's file says (LB_CONFIG names its configuration)."`
 	Board    boardCmd    `cmd:"" help:"Run the board that keeps the fleet and carries out plans."`
+	Relay    relayCmd    `cmd:"" help:"Run a relay, which serves watches to the directors of a region for the copies of a board."`
 	Validate validateCmd `cmd:"" help:"Check the operator's files."`
 	Fmt      fmtCmd      `cmd:"" help:"Write the operator's files in the one form, comments kept."`
 	Plan     planCmd     `cmd:"" help:"Plan the way from the board's world to a wished fleet. Ends with 0: nothing to change, 2: changes, 1: an error, or no order keeps the constraints."`
--- /dev/null
+++ b/cmd/stairvane-fleet/relay.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"stairvane.org/stairvane/internal/controlplane/relay"
+	"stairvane.org/stairvane/internal/opfile"
+)
+
+type relayCmd struct {
+	Config string `arg:"" type:"path" help:"The program's file; (relay ...) is read."`
+}
+
+// Run serves until SIGTERM or SIGINT; a second one ends it at once.
+func (c relayCmd) Run() error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	set, faults := opfile.ReadProgram(c.Config, os.ReadFile)
+	if len(faults) > 0 {
+		return faults
+	}
+	if set.Relay.Name == "" {
+		return fmt.Errorf("%s: (relay ...) is missing", c.Config)
+	}
+	r, err := relay.New(set.Relay)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-signals
+		r.Leave()
+		<-signals
+		r.Stop()
+	}()
+	return r.Run()
+}
--- /dev/null
+++ b/internal/controlplane/relay/owner.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"time"
+
+	"stairvane.org/stairvane/internal/controlplane/replicas"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/signals"
+)
+
+// owner is the relay as its watch server sees it.
+type owner struct{ relay *Server }
+
+// HasLease implements watch.Owner.
+func (o owner) HasLease() bool { return o.relay.hasLease() }
+
+// Request implements watch.Owner.
+func (o owner) Request(a bulletin.Announcement, acknowledged int64) bool {
+	r := o.relay
+	if !r.session.Heard(a, acknowledged, replicas.Now()) {
+		return false
+	}
+	if r.session.Pending() {
+		r.upstream.hurry()
+	}
+	return true
+}
+
+// Granted implements watch.Owner.
+func (o owner) Granted(directorID string) *quota.Grant { return o.relay.session.Granted(directorID) }
+
+// Opinions implements watch.Owner.
+func (o owner) Opinions(directorID string) *signals.Opinions {
+	return o.relay.session.Opinions(directorID, replicas.Now())
+}
+
+// AcknowledgedChanged implements watch.Owner. The leader is told with the next request.
+func (o owner) AcknowledgedChanged() {}
+
+// ClockMS implements watch.Owner.
+func (o owner) ClockMS() int64 { return time.Now().UnixMilli() }
+
+// Failed implements watch.Owner.
+func (o owner) Failed(err error) { o.relay.failed(err) }
--- /dev/null
+++ b/internal/controlplane/relay/relay_test.go
@@ -0,0 +1,333 @@
+package relay
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/opfile"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/relay"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// replicaServer is the write side of a replica that answers as a test says.
+type replicaServer struct {
+	*httptest.Server
+	mu     sync.Mutex
+	answer func(relay.Request) (int, any)
+	last   relay.Request
+}
+
+func newReplica(t *testing.T, answer func(relay.Request) (int, any)) *replicaServer {
+	l := &replicaServer{answer: answer}
+	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var r relay.Request
+		if err := json.NewDecoder(req.Body).Decode(&r); err != nil || req.URL.Path != relay.Path || req.Method != http.MethodPost {
+			t.Errorf("%s %s: %v", req.Method, req.URL.Path, err)
+		}
+		l.mu.Lock()
+		l.last = r
+		status, out := l.answer(r)
+		l.mu.Unlock()
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(out)
+	}))
+	t.Cleanup(l.Close)
+	return l
+}
+
+func (l *replicaServer) set(answer func(relay.Request) (int, any)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answer = answer
+}
+
+// until waits for a request of which something is true.
+func (l *replicaServer) until(t *testing.T, what string, is func(relay.Request) bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		last := l.last
+		l.mu.Unlock()
+		if is(last) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s: never; the last request: %+v", what, last)
+		}
+	}
+}
+
+// leader answers with the events of a log, few at a time.
+func leader(events []fleet.Event, atOnce int) func(relay.Request) (int, any) {
+	return func(r relay.Request) (int, any) {
+		a := relay.Answer{Sequence: r.Sequence, Revision: int64(len(events)), LeaseMS: 200}
+		rest := events[min(r.Revision, int64(len(events))):]
+		if len(rest) > atOnce {
+			rest, a.LeaseMS = rest[:atOnce], 0
+		}
+		a.Events = rest
+		return http.StatusOK, a
+	}
+}
+
+func notLeading(relay.Request) (int, any) {
+	return http.StatusMisdirectedRequest, api.Error{Kind: api.NotLeading, Message: "another replica leads", Leader: "b"}
+}
+
+func silent(relay.Request) (int, any) { return http.StatusServiceUnavailable, "no" }
+
+// purges are so many events, from number first on.
+func purges(first, count int) (events []fleet.Event) {
+	for i := range count {
+		group := 1
+		events = append(events, fleet.Event{No: int64(first + i), Who: "test", Purge: &fleet.Purge{Group: &group, IssuedMS: 1}})
+	}
+	return events
+}
+
+// start runs a relay of some replicas until the test ends.
+func start(t *testing.T, replicas ...*replicaServer) *Server {
+	set := opfile.DefaultRelay()
+	set.Name, set.Machine, set.Site, set.Region = "r1", "m-1", "s-1", "north"
+	set.Listen = netip.MustParseAddrPort("127.0.0.1:0")
+	set.LeaveOver = 100 * time.Millisecond
+	for _, l := range replicas {
+		set.Upstream = append(set.Upstream, netip.MustParseAddrPort(l.Listener.Addr().String()))
+	}
+	r, err := New(set)
+	check(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run() }()
+	t.Cleanup(func() {
+		r.Leave()
+		check(t, <-ended)
+	})
+	return r
+}
+
+// watcher is a director's connection.
+type watcher struct {
+	conn net.Conn
+	in   *bufio.Reader
+	last int64
+}
+
+// dial connects until a call is answered with 200.
+func dial(t *testing.T, r *Server) *watcher {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		w, status := try(t, r)
+		if status == http.StatusOK {
+			return w
+		}
+		w.conn.Close()
+	}
+	t.Fatal("the relay answers nobody")
+	return nil
+}
+
+// try makes one call on a connection of its own.
+func try(t *testing.T, r *Server) (*watcher, int) {
+	t.Helper()
+	addr, err := r.Addr()
+	check(t, err)
+	conn, err := net.Dial("tcp", addr.String())
+	check(t, err)
+	t.Cleanup(func() { conn.Close() })
+	check(t, conn.SetDeadline(time.Now().Add(patience)))
+	w := &watcher{conn: conn, in: bufio.NewReader(conn)}
+	status, _, err := w.poll(0)
+	if err != nil {
+		status = 0
+	}
+	return w, status
+}
+
+// poll asks for what comes after the last event.
+func (w *watcher) poll(wait time.Duration) (status int, feed bulletin.Feed, err error) {
+	if err := w.ask(wait); err != nil {
+		return 0, feed, err
+	}
+	return w.answer()
+}
+
+func (w *watcher) ask(wait time.Duration) error {
+	_, err := fmt.Fprintf(w.conn, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\n%s: {\"name\":\"d\",\"inc\":\"1\"}\r\n\r\n", w.last, wait.Milliseconds(), bulletin.AnnounceHeader)
+	return err
+}
+
+func (w *watcher) answer() (status int, feed bulletin.Feed, err error) {
+	res, err := http.ReadResponse(w.in, nil)
+	if err != nil {
+		return 0, feed, err
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, feed, err
+	}
+	feed, err = bulletin.Decode(body)
+	w.last = max(w.last, feed.Last)
+	return res.StatusCode, feed, err
+}
+
+func TestRelayServesOnlyOnceItHasAllEventsAndALease(t *testing.T) {
+	l := newReplica(t, silent)
+	r := start(t, l)
+	l.until(t, "a request", func(q relay.Request) bool { return q.Sequence > 2 })
+	if _, status := try(t, r); status != http.StatusServiceUnavailable {
+		t.Errorf("a relay without a lease answers %d", status)
+	}
+	l.set(leader(purges(1, 7), 2))
+	w := dial(t, r)
+	if w.last != 7 {
+		t.Errorf("the first answer goes up to event %d of 7", w.last)
+	}
+	l.until(t, "the director's joining", func(q relay.Request) bool { return q.Directors == 1 && q.Revision == 7 })
+	l.set(leader(purges(1, 9), 100))
+	_, feed, err := w.poll(5 * time.Second)
+	check(t, err)
+	if len(feed.Items) != 2 || feed.Last != 9 {
+		t.Errorf("%+v", feed)
+	}
+}
+
+func TestASnapshotTakesThePlaceOfAllEvents(t *testing.T) {
+	behind, err := newEventLog(10)
+	check(t, err)
+	_, err = behind.follow(purges(1, 40))
+	check(t, err)
+	snapshot := behind.fleet.Dump()
+	l := newReplica(t, leader(purges(1, 3), 100))
+	r := start(t, l)
+	w := dial(t, r)
+	l.set(func(q relay.Request) (int, any) {
+		a := relay.Answer{Sequence: q.Sequence, Revision: 41, LeaseMS: 200}
+		switch {
+		case q.Revision < 40:
+			a.Snapshot = &snapshot
+		case q.Revision == 40:
+			a.Events = purges(41, 1)
+		}
+		return http.StatusOK, a
+	})
+	for w.last < 41 {
+		_, _, err := w.poll(5 * time.Second)
+		check(t, err)
+	}
+}
+
+func TestARelayLetsItsWatchersGoWithItsLeaseAndComesBack(t *testing.T) {
+	l := newReplica(t, leader(purges(1, 3), 100))
+	r := start(t, l)
+	w := dial(t, r)
+	l.set(silent)
+	began := time.Now()
+	if _, _, err := w.poll(5 * time.Second); err == nil {
+		t.Error("a watch was answered at its end without a lease")
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the watcher was let go after %v", took)
+	}
+	l.set(leader(purges(1, 4), 100))
+	if w = dial(t, r); w.last != 4 {
+		t.Errorf("back at event %d of 4", w.last)
+	}
+}
+
+func TestTheReplicaThatLeadsIsFound(t *testing.T) {
+	a, b, c := newReplica(t, notLeading), newReplica(t, leader(purges(1, 1), 100)), newReplica(t, notLeading)
+	r := start(t, a, b, c)
+	w := dial(t, r)
+	b.set(notLeading)
+	c.set(leader(purges(1, 2), 100))
+	for w.last < 2 {
+		if _, _, err := w.poll(time.Second); err != nil {
+			w = dial(t, r) // the lease was over meanwhile
+		}
+	}
+}
+
+// Events that do not follow on those before are never passed on: the relay lets its watchers go and begins anew.
+func TestAGapInTheEventsIsNotPassedOn(t *testing.T) {
+	l := newReplica(t, leader(purges(1, 3), 100))
+	r := start(t, l)
+	w := dial(t, r)
+	l.set(func(q relay.Request) (int, any) {
+		if q.Revision == 0 {
+			return leader(purges(1, 6), 100)(q)
+		}
+		return http.StatusOK, relay.Answer{Sequence: q.Sequence, Revision: 6, LeaseMS: 200, Events: purges(5, 2)}
+	})
+	for w.last < 6 {
+		_, feed, err := w.poll(5 * time.Second)
+		if err != nil {
+			w = dial(t, r)
+		}
+		for _, item := range feed.Items {
+			if item.Number > 4 && feed.Last < 6 {
+				t.Fatalf("event %d was passed on after a gap", item.Number)
+			}
+		}
+		if feed.Last == 6 && len(feed.Items) != 3 {
+			t.Fatalf("%d events after event 3, of 6", len(feed.Items))
+		}
+	}
+}
+
+func TestARelayThatLeavesClosesItsWatchersAndEnds(t *testing.T) {
+	l := newReplica(t, leader(purges(1, 3), 100))
+	r := start(t, l)
+	w := dial(t, r)
+	check(t, w.ask(5*time.Second))
+	r.Leave()
+	if _, _, err := w.answer(); err == nil {
+		t.Error("the watch was answered and not closed")
+	}
+	select {
+	case <-r.ended:
+	case <-time.After(patience):
+		t.Error("the relay does not end")
+	}
+}
+
+func TestEventsTheRelayHasArePassedOver(t *testing.T) {
+	l, err := newEventLog(10)
+	check(t, err)
+	_, err = l.follow(purges(1, 5))
+	check(t, err)
+	fresh, err := l.follow(purges(3, 4))
+	if err != nil || len(fresh) != 1 || l.fleet.Revision != 6 {
+		t.Errorf("%v, %d new, at %d", err, len(fresh), l.fleet.Revision)
+	}
+	if _, err = l.follow(purges(8, 1)); err == nil || !strings.Contains(err.Error(), "event 8") || l.fleet.Revision != 6 {
+		t.Errorf("after a gap: %v, at %d", err, l.fleet.Revision)
+	}
+}
