Run relays on the rig of tests, between copies and directors

Cause: relays are to be tested as processes, with lines that can be cut.

A relay takes at most 4,000 watchers, the bound of one session.

--- a/internal/opfile/relay.go
+++ b/internal/opfile/relay.go
@@ -44,7 +44,7 @@
 			{name: "upstream", need: true, read: d.upstream(&r.Upstream)},
 			{name: "watchers", read: d.addresses(&r.Watchers)},
 			{name: "gather", read: d.duration(&r.Gather, 0, 200*time.Millisecond)},
-			{name: "max-watchers", read: d.integer(&r.MaxWatchers, 1, 8192)},
+			{name: "max-watchers", read: d.integer(&r.MaxWatchers, 1, 4000)},
 			{name: "keep", read: d.integer(&r.Keep, 100, 1_000_000)},
 			{name: "leave-over", read: d.duration(&r.LeaveOver, 0, time.Minute)},
 			{name: "tls", read: d.clientTLS(&r.TLS, folder)},
--- a/internal/standin/rig/directors.go
+++ b/internal/standin/rig/directors.go
@@ -22,6 +22,19 @@
 	for i := range s.List {
 		bulletins = append(bulletins, s.List[(first+i)%len(s.List)].Follow.Addr())
 	}
+	return s.startDirector(name, location, first, bulletins, forms)
+}
+
+// StartDirectorAt starts a director that watches relays, the one at a place in the list first.
+func (s *Boards) StartDirectorAt(name, location string, relays []*Relay, first int, forms string) (*Director, error) {
+	var bulletins []string
+	for i := range relays {
+		bulletins = append(bulletins, relays[(first+i)%len(relays)].Watch.Addr())
+	}
+	return s.startDirector(name, location, first, bulletins, forms)
+}
+
+func (s *Boards) startDirector(name, location string, first int, bulletins []string, forms string) (*Director, error) {
 	own := maps.Clone(settings)
 	own["Zone"] = location
 	if s.Hubs {
