Have a replica that is cut off close its watches at its lease's end

Cause: the timer that looks at the lease was made and never started, since the first replicas. Watches of a replica that was cut off ended with their own waits, up to 5 s later, without followers.let_go; no event was lost or answered late by it.

Change: the control plane starts the timer where it is one of a group.

Measured: the new test passes twice with it and fails without it (closed after 5 s). go test ./internal/controlplane/replicas passes whole (141 s, load of the machine about 12).

--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -211,6 +211,9 @@
 		b.post(b.loop.Stop)
 	}
 	b.observer.start()
+	if b.group != nil {
+		b.watches.CheckLease()
+	}
 	go func() {
 		if err := b.server.Serve(b.write); !errors.Is(err, http.ErrServerClosed) {
 			b.failed <- fmt.Errorf("write side: %w", err)
