Hold the relay command's refusals to their lines

Cause: the clear line of each refusal is part of what commands promise.

Change: the test of the command line covers a file without a relay, and one whose relay lacks a key.

Measured: go test -run TestStatuses ./cmd/stairvane-fleet passes.

--- a/cmd/stairvane-fleet/cli_test.go
+++ b/cmd/stairvane-fleet/cli_test.go
@@ -132,6 +132,8 @@
 	want(exitFailed, `did you mean "location"?`, "validate", path("bad.scm"))
 	want(exitDone, path("fleet.scm"), "fmt", path("fleet.scm"))
 	want(exitDone, "", "fmt", "--check", path("fleet.scm"))
+	want(exitFailed, "(relay ...) is missing", "relay", program)
+	want(exitFailed, "relay.upstream: missing", "validate", "--program", put("relay.scm", "(relay (name r) (machine m) (site s) (region n) (listen 127.0.0.1:0))"))
 	want(exitFailed, "unexpected", "aply")
 	want(exitDone, "purged by event", "purge", "--group", "7")
 	want(exitFailed, "not within 0 to 255", "purge", "--group", "700")
