--- a/internal/controlplane/watchowner.go
+++ b/internal/controlplane/watchowner.go
@@ -24,8 +24,8 @@
 // others and not know of it.
 func (b *Server) hasLease() bool { return b.group == nil || b.group.Holds() }
 
-// acknowledgedRevision is the revision up to which every director has all events, those of other replicas included.
-func (b *Server) acknowledgedRevision() int64 {
+// watchedRevision is the revision up to which every director has all events, those that watch other replicas included.
+func (b *Server) watchedRevision() int64 {
 	if b.group != nil {
 		return b.group.Acknowledged()
 	}
