Make a quota renewal cost the same for any number of holders

Change: pools keep running totals in parts of a quantum, which add up exactly; an account is counted anew with each of its renewals and, two at a time, with those of others. A limit's division is kept as a level that is found without sorting, at most each 50 ms and 50 us a holder. An allocator that still waits for the one before it, and one that gets a renewal again, answers without a Seq, so that nobody takes it for a grant: a holder that took the empty answer went on using the part it had, while it said to have taken the new one. Whitebox tests clone the new state.

--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,56 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkRenew is one renewal of one of so many holders, each of which renews every 100 ms and wants so many limits.
+func BenchmarkRenew(b *testing.B) {
+	for _, limits := range []int{0, 1, 8} {
+		for _, holders := range []int{100, 200, 400, 800, 1600, 3500} {
+			b.Run(fmt.Sprintf("limits=%d/holders=%d", limits, holders), func(b *testing.B) {
+				allocator, now := NewAllocator(set(), 1, 0, true), time.Duration(0)
+				all := make([]*Holder, holders)
+				for i := range all {
+					all[i] = NewHolder(fmt.Sprint("d", i), set())
+					for l := range limits {
+						all[i].Want(Want{Limit: fmt.Sprint("box-", l), Kind: Rate, Demand: float64(i+1) / 1000})
+					}
+				}
+				renew := func(i int) {
+					now += 100 * ms / time.Duration(holders)
+					h := all[i%holders]
+					h.Take(allocator.Renew(h.Renewal(now), now), now)
+				}
+				for i := range 3 * holders {
+					renew(i)
+				}
+				for i := 0; b.Loop(); i++ {
+					renew(i)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkFind is one look over so many holders for how a limit is divided, which 8 limits take 8/(50 ms + n*50 us) times a
+// second.
+func BenchmarkFind(b *testing.B) {
+	for _, holders := range []int{400, 3500} {
+		b.Run(fmt.Sprint("holders=", holders), func(b *testing.B) {
+			allocator := NewAllocator(set(), 1, 0, true)
+			for i := range holders {
+				h := NewHolder(fmt.Sprint("d", i), set())
+				h.Want(Want{Limit: "box", Kind: Rate, Demand: float64(i+1) / 1000})
+				allocator.Renew(h.Renewal(0), 0)
+			}
+			l := allocator.limits["box"]
+			for b.Loop() {
+				l.filledBudget = -1
+				allocator.find(l, budget{part: 0.8}, 0)
+			}
+		})
+	}
+}
--- a/internal/quota/explore_test.go
+++ b/internal/quota/explore_test.go
@@ -28,14 +28,14 @@
 
 func (w *world) clock(i int) time.Duration { return time.Duration(float64(w.now) * rates[i]) }
 
-func cloneHolders(all map[string]*holder) map[string]*holder {
-	out := make(map[string]*holder, len(all))
-	for id, h := range all {
-		c := *h
-		c.given = slices.Clone(h.given)
-		out[id] = &c
-	}
-	return out
+func (p pool) clone() pool {
+	p.accounts, p.order = make(map[string]*account, len(p.accounts)), slices.Clone(p.order)
+	for i, a := range p.order {
+		c := *a
+		c.records = slices.Clone(a.records)
+		p.accounts[c.id], p.order[i] = &c, &c
+	}
+	return p
 }
 
 func (w *world) clone() *world {
@@ -45,10 +45,10 @@
 			continue
 		}
 		n := *g
-		n.last, n.backs, n.limits = maps.Clone(g.last), cloneHolders(g.backs), map[string]*limit{}
+		n.last, n.reserve, n.limits = maps.Clone(g.last), g.reserve.clone(), map[string]*limit{}
 		for name, l := range g.limits {
 			k := *l
-			k.holders, k.queue, k.targets = cloneHolders(l.holders), slices.Clone(l.queue), maps.Clone(l.targets)
+			k.pool, k.queue = l.pool.clone(), slices.Clone(l.queue)
 			n.limits[name] = &k
 		}
 		c.granters[i] = &n
@@ -120,9 +120,10 @@
 	for _, g := range w.granters {
 		if g != nil {
 			fmt.Fprint(&h, g.since, g.last)
-			for _, all := range []map[string]*holder{g.backs, g.held()} {
-				for _, id := range slices.Sorted(maps.Keys(all)) {
-					fmt.Fprint(&h, id, *all[id])
+			for _, p := range []pool{g.reserve, g.box()} {
+				fmt.Fprint(&h, p.next)
+				for _, a := range p.order {
+					fmt.Fprint(&h, *a)
 				}
 			}
 		}
@@ -140,11 +141,11 @@
 	return h.Sum64()
 }
 
-func (g *Allocator) held() map[string]*holder {
+func (g *Allocator) box() pool {
 	if l := g.limits["box"]; l != nil {
-		return l.holders
+		return l.pool
 	}
-	return nil
+	return pool{}
 }
 
 func explore(depth, speak, most int, before bool) (states int, worst float64) {
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,95 @@
+// Package quota divides limits that directors share: leased parts of a rate, and turns that only so many may have at a time.
+// The allocator is the control plane's leader; holders are directors. A part counts for its holder from before it was asked
+// for, and for the allocator until after it was given, with a bound on how far clocks run apart, so that the sum of what is in
+// force keeps the limit at each moment without agreeing clocks. The package is pure: renewals, grants and the time come in.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Settings are the same for allocators and holders.
+type Settings struct {
+	Lease   time.Duration // for how long a part may be used, by its holder's clock from before it was asked for
+	Drift   float64       // by which clocks run apart, as a share
+	Reserve float64       // of each rate, set aside for those who can have no part: each has been told what of it is its own
+	Fades   time.Duration // in which such a fallback sinks to nothing
+	Floor   float64       // of a rate, for each that wants anything, at least, as a share of an even part
+	Hold    float64       // a part is not changed for less than this share of it
+}
+
+// stretched is how long a clock may count that runs fast, for a time that a slow one counts.
+func (s Settings) stretched(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + 2*s.Drift))
+}
+
+// waits is how long the allocator counts a part that it gave.
+func (s Settings) waits() time.Duration { return s.stretched(s.Lease) }
+
+// fades is how long the allocator counts a fallback.
+func (s Settings) fades() time.Duration { return s.stretched(s.Fades) }
+
+// Kind is how a limit is shared.
+type Kind string
+
+// Kinds of limits.
+const (
+	Rate  Kind = "rate"  // parts add up to 1 at most
+	Turns Kind = "turns" // so many holders at a time, in the order in which they came
+)
+
+// Want is what a holder wants of a limit. For a rate, Demand is in parts of the limit; for turns, anything over 0 waits for
+// one, and 0 gives it back.
+type Want struct {
+	Limit  string  `json:"limit"`
+	Kind   Kind    `json:"kind"`
+	Demand float64 `json:"demand"`
+	Most   int     `json:"most,omitempty"` // turns: holders at a time; 0: one
+}
+
+// valid tells whether a want can be meant.
+func (w Want) valid() bool { return w.Demand >= 0 && !math.IsNaN(w.Demand) }
+
+// groups are the demands behind a want. Whoever says that it wants a thousand times the limit gets what anyone gets who wants
+// all of it.
+func (w Want) groups() []Group {
+	if w.Demand == 0 {
+		return nil
+	}
+	return []Group{{min(w.Demand, 1), 1}}
+}
+
+// Renewal is what a holder says of itself, again and again.
+type Renewal struct {
+	Holder string `json:"holder"`
+	Seq    uint64 `json:"seq"`   // rises with each renewal
+	Taken  uint64 `json:"taken"` // the renewal whose grant is in use: no older grant will be any more
+	Wants  []Want `json:"wants,omitempty"`
+}
+
+// Share is a grant of one limit.
+type Share struct {
+	Limit string  `json:"limit"`
+	Part  float64 `json:"part"` // turns: 1 or 0
+}
+
+// Grant answers a renewal.
+type Grant struct {
+	Holder string  `json:"holder"` // whose renewal: nobody else takes it, and no later process under the same name
+	Epoch  int64   `json:"epoch"`  // of the allocator: what a later one has said is not undone by an older one
+	Seq    uint64  `json:"seq"`    // of the renewal
+	Parts  []Share `json:"parts,omitempty"`
+	// Fallback is the part of each rate that may be used where no part is in force; it fades.
+	Fallback float64 `json:"fallback,omitempty"`
+}
+
+// Held is a part in force, as the allocator counts.
+type Held struct {
+	Limit  string        `json:"limit"`
+	Kind   Kind          `json:"kind"`
+	Holder string        `json:"holder"`
+	Part   float64       `json:"part"`
+	Demand float64       `json:"demand"`
+	Left   time.Duration `json:"left_ns"`
+}
