Add quota nodes, so that allocators and holders make a tree

Cause: each director's renewal goes to the leader, of which a fleet of 3,500 sends 35,000 a second.

Change: a Node leases from the root (Settings.NodeLease) and divides among its holders. It answers nothing that outlasts its own lease, tells by limit and for the fallback which grant its holders keep within, and sends demands in groups of up to 16. While a share that sank is not yet settled, new grants keep within the new one and add nothing to what is in force. A root waits for the longer of both leases. A grant takes the place of all of the one before; grants of several sources are ordered by the holder's renewals, epochs order roots only.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -9,11 +9,12 @@
 	since time.Duration // when it began
 }
 
-// NewAllocator makes an allocator. One that takes over from another gives nothing until what that one gave is over.
+// NewAllocator makes an allocator, the root. One that takes over from another gives nothing until what that one gave is over,
+// to holders and to nodes.
 func NewAllocator(set Settings, epoch int64, now time.Duration, first bool) *Allocator {
 	g := &Allocator{divider: newDivider(set), epoch: epoch, since: now}
 	if first {
-		g.since -= set.waits() + set.fades()
+		g.since -= max(set.waits(), set.nodeWaits()) + set.fades()
 	}
 	return g
 }
@@ -28,15 +29,17 @@
 	}
 	now = g.clock(now)
 	wanted := g.note(r, now)
-	if now < g.since+g.set.waits() {
+	if now < g.since+max(g.set.waits(), g.set.nodeWaits()) {
 		return answer
 	}
 	answer.Seq = r.Seq
 	for _, name := range wanted {
-		answer.Parts = append(answer.Parts, g.share(name, r, budget{part: 1 - g.set.Reserve}, now))
+		shared := 1 - g.set.Reserve
+		of := budget{part: shared, even: shared / float64(max(1, g.limits[name].weight))}
+		answer.Parts = append(answer.Parts, g.share(name, r, of, now))
 	}
 	reserve := g.set.Reserve
-	if now < g.since+g.set.fades() { // what the one before it gave has not faded yet
+	if now < g.since+g.set.nodeWaits()+g.set.fades() { // what the one before it gave has not faded yet
 		reserve = 0
 	}
 	answer.Fallback = g.fallback(r, reserve, now)
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -49,8 +50,28 @@
 			l := allocator.limits["box"]
 			for b.Loop() {
 				l.filledBudget = -1
-				allocator.find(l, budget{part: 0.8}, 0)
+				allocator.find(l, budget{part: 0.8, even: 0.8 / float64(holders)}, 0)
 			}
 		})
 	}
 }
+
+// BenchmarkNodeRenewal is one renewal of a node with 400 leaves that want 8 limits, with the size of what is said.
+func BenchmarkNodeRenewal(b *testing.B) {
+	node := NewNode("n", treeSet())
+	for i := range 400 {
+		h := NewHolder(fmt.Sprint("d", i), treeSet())
+		for l := range 8 {
+			h.Want(Want{Limit: fmt.Sprint("box-", l), Kind: Rate, Demand: float64((i*7919)%400+1) / 1000})
+		}
+		node.Renew(h.Renewal(0), 0)
+	}
+	for b.Loop() {
+		node.Renewal(0)
+	}
+	said, err := json.Marshal(node.Renewal(0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(said)), "bytes")
+}
--- a/internal/quota/divider.go
+++ b/internal/quota/divider.go
@@ -13,6 +13,7 @@
 	limits  map[string]*limit
 	last    map[string]uint64 // the last renewal, by holder
 	reserve pool              // what of it each may fall back to
+	demands []Group           // to find a filling in, over and over
 }
 
 // limit is one limit, what is in force of it, and how it is divided at the moment.
@@ -32,7 +33,7 @@
 // budget is what is to be divided of one limit.
 type budget struct {
 	part float64
-	even float64 // an even part of the whole limit, of which the floor is a share; 0: one of this budget
+	even float64 // an even part for each leaf holder of the whole limit: the floor is a share of it
 }
 
 // A filling takes a look at all accounts, and renewals come several times a second from each. So it holds for a time that
@@ -68,7 +69,7 @@
 // note takes in what a holder wants and has taken, and gives the names of the limits that it wants.
 func (d *divider) note(r Renewal, now time.Duration) (wanted []string) {
 	for _, want := range r.Wants {
-		if slices.Contains(wanted, want.Limit) || !want.valid() {
+		if slices.Contains(wanted, want.Limit) {
 			continue
 		}
 		wanted = append(wanted, want.Limit)
@@ -78,14 +79,12 @@
 			d.limits[want.Limit] = l
 		}
 		l.most = max(1, want.Most)
-		a := l.open(r.Holder)
-		a.demand = want.groups()
-		d.renewed(&l.pool, a, r, now)
+		d.noteWant(l, want, r, now)
 		for _, id := range l.advance(countedAnew, now) {
 			l.leave(id)
 		}
 	}
-	d.renewed(&d.reserve, d.reserve.open(r.Holder), r, now)
+	d.noteFallback(r, now)
 	for _, id := range d.reserve.advance(countedAnew, now) {
 		delete(d.last, id)
 	}
@@ -97,11 +96,41 @@
 	return wanted
 }
 
-// renewed takes in that an account's holder was heard of.
-func (d *divider) renewed(p *pool, a *account, r Renewal, now time.Duration) {
-	a.renewed, a.waits = now, d.set.waits()
-	p.setWeight(a, 1)
-	p.settle(a, r.Taken, now)
+func (d *divider) noteWant(l *limit, want Want, r Renewal, now time.Duration) {
+	a := l.open(r.Holder)
+	a.demand = want.groups(r.Node)
+	a.renewed, a.waits = now, d.counts(r)
+	a.whole = a.waits
+	weight := 1
+	if r.Node {
+		weight = 0
+		for _, group := range a.demand {
+			weight += group.Count
+		}
+	}
+	l.setWeight(a, weight)
+	l.settle(a, max(r.Taken, want.Taken), now)
+}
+
+// noteFallback keeps the account of the reserve. A leaf holder's fallback fades from when it was asked for; what a node's
+// holders fall back to may begin to fade as late as the end of the node's lease.
+func (d *divider) noteFallback(r Renewal, now time.Duration) {
+	a := d.reserve.open(r.Holder)
+	a.renewed, a.waits = now, d.counts(r)
+	weight := 1
+	if r.Node {
+		a.whole, weight = a.waits, max(0, r.Leaves)
+	}
+	d.reserve.setWeight(a, weight)
+	d.reserve.settle(a, max(r.Taken, r.TakenFallback), now)
+}
+
+// counts is how long a part is counted that answers a renewal.
+func (d *divider) counts(r Renewal) time.Duration {
+	if r.Node {
+		return d.set.nodeWaits()
+	}
+	return d.set.waits()
 }
 
 // drop forgets what a holder has of a limit, and the limit with the last of them.
@@ -124,7 +153,11 @@
 		part = d.part(l, a, of, now)
 	}
 	l.grant(a, r.Seq, part, now)
-	return Share{name, part}
+	answer := Share{Limit: name, Part: part}
+	if r.Node {
+		answer.Even = of.even
+	}
+	return answer
 }
 
 // part decides what one gets of a rate.
@@ -158,16 +191,13 @@
 	if now-l.filledAt < holds && change*fillsWeight <= l.filledWeight && of.part == l.filledBudget {
 		return
 	}
-	var demands []Group
+	d.demands = d.demands[:0]
 	for _, a := range l.order {
 		if now < a.renewed+a.waits { // one that was not heard of for so long wants nothing
-			demands = d.scaled(demands, a.demand)
+			d.demands = d.scaled(d.demands, a.demand)
 		}
 	}
-	if of.even == 0 {
-		of.even = of.part / float64(max(1, l.weight))
-	}
-	l.filled = fill(demands, of.part, d.set.Floor*of.even)
+	l.filled = fill(d.demands, of.part, d.set.Floor*of.even)
 	l.filledAt, l.filledWeight, l.filledBudget = now, l.weight, of.part
 }
 
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -7,18 +7,19 @@
 	set    Settings
 	id     string
 	seq    uint64
-	epoch  int64
+	epoch  int64 // of the root, the latest
 	taken  uint64
-	asked  map[uint64]time.Duration // when each beat that may still be answered was made
+	asked  map[uint64]time.Duration // when each renewal that may still be answered was made
 	parts  map[string]part
 	wants  map[string]Want
-	gaveUp map[string]uint64 // the last beat before each limit was given up: grants up to it count no more
+	gaveUp map[string]uint64 // the last renewal before each limit was given up: grants up to it count no more
 	back   float64           // what it may fall back to
 	backed time.Duration     // since when that fades
 }
 
 type part struct {
 	share float64
+	even  float64 // for a node, Share.Even
 	until time.Duration
 }
 
@@ -56,19 +57,31 @@
 	return b
 }
 
-// Take takes a grant in. One for another holder, of an older granter, or before one that was taken, changes nothing.
-func (h *Holder) Take(g Grant, now time.Duration) {
+// Take takes a grant in, and tells whether it did. One for another holder, or of a renewal before one whose grant was taken,
+// changes nothing, and neither does one of a root before the latest that it has taken a grant of.
+//
+// A grant takes the place of all of the one before it, whichever source that came from: each source counts what it has
+// granted itself, until it is over or the holder has said to another renewal that it uses a later one, and the holder uses one
+// grant at a time, by the order of its own renewals. So grants of several sources are ordered without regard to their epochs.
+// Those tell roots apart, whose grants are over when a later root gives any; to compare a node's with a root's would have a
+// holder that comes back from one to the other refuse what it is granted.
+func (h *Holder) Take(g Grant, _ time.Duration) bool {
 	asked, known := h.asked[g.Seq]
-	if !known || g.Holder != h.id || g.Epoch < h.epoch || g.Epoch == h.epoch && g.Seq <= h.taken {
-		return
+	if !known || g.Holder != h.id || g.Seq <= h.taken || g.Source == "" && g.Epoch < h.epoch {
+		return false
+	}
+	if g.Source == "" {
+		h.epoch = g.Epoch
 	}
-	h.epoch, h.taken = g.Epoch, g.Seq
+	h.taken = g.Seq
 	h.back, h.backed = g.Fallback, asked
+	h.parts = make(map[string]part, len(g.Parts))
 	for _, p := range g.Parts {
 		if _, wanted := h.wants[p.Limit]; wanted && g.Seq > h.gaveUp[p.Limit] {
-			h.parts[p.Limit] = part{p.Part, asked + h.set.Lease}
+			h.parts[p.Limit] = part{p.Part, p.Even, asked + h.set.Lease}
 		}
 	}
+	return true
 }
 
 // Part is what may be used of a limit at this moment: what was granted, or else what of the reserve was told to be its own,
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -27,7 +27,8 @@
 	id      string
 	demand  []Group       // none: it wants nothing
 	renewed time.Duration // when its last renewal came
-	waits   time.Duration // for how long a grant to it is counted
+	waits   time.Duration // without a renewal, after which it wants nothing
+	whole   time.Duration // for how long a grant to it is counted whole
 	weight  int           // leaf holders behind it
 	records []record      // oldest first: parts sink, ends rise
 	used    float64       // the most of what may be in use, as the pool counts it
@@ -55,7 +56,7 @@
 	recent     float64       // total of the accounts' recent
 	live       int           // total of the accounts' live
 	weight     int           // total of the accounts' weights, heard of or not
-	fades      time.Duration // in which a part sinks to nothing before its end; 0: it is in force whole
+	fades      time.Duration // in which a part sinks to nothing at its end; 0: it is in force whole up to there
 	generation int           // rises when the budget sinks
 }
 
@@ -132,7 +133,7 @@
 	for n > 0 && a.records[n-1].part <= part {
 		n--
 	}
-	a.records = append(a.records[:n], record{seq, part, now + a.waits + p.fades, p.generation})
+	a.records = append(a.records[:n], record{seq, part, now + a.whole + p.fades, p.generation})
 	p.count(a, now)
 }
 
@@ -160,3 +161,10 @@
 	}
 	return forgotten
 }
+
+// countAll counts all accounts anew.
+func (p *pool) countAll(now time.Duration) {
+	for _, a := range p.order {
+		p.count(a, now)
+	}
+}
--- /dev/null
+++ b/internal/quota/tree_test.go
@@ -0,0 +1,245 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func treeSet() Settings {
+	return Settings{Lease: 400 * ms, Drift: 0.02, Reserve: 0.2, Fades: 3 * time.Second, Floor: 0.2, Hold: 0.05, NodeLease: 1200 * ms}
+}
+
+// process is any party of a tree. Its clock runs up to 1 % off true time, so that any two are up to 2 % apart.
+type process struct {
+	rate   float64
+	paused time.Duration // until then; it handles nothing
+	cut    time.Duration // until then; nothing comes from it or to it
+	root   *Allocator
+	node   *Node
+	leaf   *Holder
+	parent int // of a leaf: index of its node; len(nodes): the root
+	demand float64
+}
+
+// tree is a root, nodes, leaves, and messages that are late, lost or doubled.
+type tree struct {
+	rng     *rand.Rand
+	now     time.Duration
+	root    *process
+	old     *process      // the root before
+	fenced  time.Duration // until when that one still answers
+	nodes   []*process
+	leaves  []*process
+	net     []message
+	started int     // processes, for their names
+	hard    bool    // most messages are late or lost, and demands change all the time
+	worst   float64 // of what shares, or fallbacks, may be: how much of it those that are in force come to
+	used    float64 // sum over the steps, of what is in use
+	wanted  float64 // the same of what could be
+}
+
+type message struct {
+	from, to *process
+	at       time.Duration
+	deliver  func()
+}
+
+func newTree(seed uint64, nodes, leaves int) *tree {
+	t := &tree{rng: rand.New(rand.NewPCG(seed, 5))}
+	t.root = t.process()
+	t.root.root = NewAllocator(treeSet(), 1, 0, true)
+	for range nodes {
+		t.nodes = append(t.nodes, t.newNode())
+	}
+	for range leaves {
+		t.leaves = append(t.leaves, t.newLeaf())
+	}
+	return t
+}
+
+func (t *tree) process() *process {
+	t.started++
+	return &process{rate: 1 + float64(t.rng.IntN(3)-1)*0.01}
+}
+
+func (t *tree) newNode() *process {
+	p := t.process()
+	p.node = NewNode(fmt.Sprint("n", t.started), treeSet())
+	return p
+}
+
+func (t *tree) newLeaf() *process {
+	p := t.process()
+	p.leaf, p.parent, p.demand = NewHolder(fmt.Sprint("d", t.started), treeSet()), t.rng.IntN(len(t.nodes)+1), t.rng.ExpFloat64()/3
+	return p
+}
+
+func (t *tree) clock(p *process) time.Duration { return time.Duration(float64(t.now) * p.rate) }
+
+func (t *tree) some(most int) time.Duration { return time.Duration(t.rng.IntN(most)) * ms }
+
+// send has a message on its way: one in 20 is lost, one in 20 comes twice, one in ten takes up to 320 ms; more
+// where it is hard.
+func (t *tree) send(from, to *process, deliver func()) {
+	copies := 1
+	switch t.rng.IntN(20) {
+	case 0:
+		copies = 0
+	case 1:
+		copies = 2
+	case 2, 3, 4, 5, 6:
+		if t.hard {
+			copies = 0
+		}
+	}
+	if t.now < from.cut || t.now < to.cut {
+		copies = 0
+	}
+	for range copies {
+		delay := t.some(40)
+		if t.rng.IntN(10) == 0 || t.hard && t.rng.IntN(2) == 0 {
+			delay = t.some(320)
+		}
+		t.net = append(t.net, message{from, to, t.now + delay, deliver})
+	}
+}
+
+// renewRoot sends a renewal to the root, or, for as long as that one answers, perhaps to the one before it.
+func (t *tree) renewRoot(from *process, r Renewal, take func(Grant)) {
+	root := t.root
+	if t.now < t.fenced && t.rng.IntN(2) == 0 {
+		root = t.old
+	}
+	t.send(from, root, func() {
+		if root == t.root || t.now < t.fenced {
+			g := root.root.Renew(r, t.clock(root))
+			t.send(root, from, func() { take(g) })
+		}
+	})
+}
+
+func (t *tree) renewLeaf(p *process) {
+	p.leaf.Want(Want{Limit: "box", Kind: Rate, Demand: p.demand})
+	if t.rng.IntN(30) == 0 { // it gives up what it has, and wants it again with the next renewal
+		p.leaf.Want(Want{Limit: "box", Kind: Rate})
+	}
+	r := p.leaf.Renewal(t.clock(p))
+	take := func(g Grant) { p.leaf.Take(g, t.clock(p)) }
+	if p.parent == len(t.nodes) {
+		t.renewRoot(p, r, take)
+		return
+	}
+	node := t.nodes[p.parent]
+	t.send(p, node, func() {
+		g := node.node.Renew(r, t.clock(node))
+		t.send(node, p, func() { take(g) })
+	})
+}
+
+func (t *tree) fault() {
+	leaf, place := t.leaves[t.rng.IntN(len(t.leaves))], t.rng.IntN(len(t.nodes))
+	node := t.nodes[place]
+	event := t.rng.IntN(500)
+	if t.hard && t.rng.IntN(10) == 0 {
+		event = 16 + t.rng.IntN(8)
+	}
+	switch event {
+	case 0:
+		t.old, t.fenced = t.root, t.now+200*ms
+		t.root = t.process()
+		t.root.root = NewAllocator(treeSet(), t.old.root.epoch+1, time.Duration(float64(t.fenced)*t.root.rate), false)
+	case 1, 2:
+		leaf.paused = t.now + t.some(2000)
+	case 3, 4:
+		node.paused = t.now + t.some(2000)
+	case 5:
+		leaf.cut = t.now + t.some(5000)
+	case 6:
+		node.cut = t.now + t.some(5000)
+	case 7:
+		t.root.paused = t.now + t.some(1000)
+	case 8:
+		node.cut = 1 << 62 // it dies, and another comes in its place
+		t.nodes[place] = t.newNode()
+	case 9:
+		t.leaves[t.rng.IntN(len(t.leaves))] = t.newLeaf()
+	case 10, 11, 12, 13, 14, 15:
+		leaf.parent = t.rng.IntN(len(t.nodes) + 1)
+	case 16, 17, 18, 19, 20, 21:
+		leaf.demand = t.rng.ExpFloat64() / 3
+	case 22, 23: // all of a node's leaves want little, so that its share sinks at once
+		for _, p := range t.leaves {
+			p.demand = 0.001 + float64(p.parent%2)*t.rng.ExpFloat64()
+		}
+	}
+}
+
+func (t *tree) step() {
+	t.now += 10 * ms
+	for _, p := range t.leaves {
+		if t.now >= p.paused && t.rng.IntN(10) == 0 {
+			t.renewLeaf(p)
+		}
+	}
+	for _, p := range t.nodes {
+		if t.now >= p.paused && t.rng.IntN(5) == 0 {
+			t.renewRoot(p, p.node.Renewal(t.clock(p)), func(g Grant) { p.node.Take(g, t.clock(p)) })
+		}
+	}
+	net := t.net
+	t.net = nil
+	for _, m := range net {
+		if t.now < m.at || t.now < m.to.paused {
+			t.net = append(t.net, m)
+		} else if t.now >= m.to.cut {
+			m.deliver()
+		}
+	}
+	t.look()
+}
+
+// look sums up what is in force. Shares and fallbacks each keep what is set aside for them, so that both keep the limit.
+func (t *tree) look() {
+	shares, fallbacks, wanted, set := 0.0, 0.0, 0.0, treeSet()
+	for _, p := range t.leaves {
+		share, fallback := inForce([]*Holder{p.leaf}, t.clock(p))
+		shares, fallbacks, wanted = shares+share, fallbacks+fallback, wanted+p.demand
+	}
+	t.worst = max(t.worst, shares/(1-set.Reserve), fallbacks/set.Reserve)
+	t.used += min(shares, wanted)
+	t.wanted += min(1-set.Reserve, wanted)
+}
+
+func playTree(seed uint64, length time.Duration) *tree {
+	t := newTree(seed, 1+int(seed%3), 3+int(seed%6))
+	t.hard = seed%2 == 0
+	for t.now < length {
+		t.fault()
+		t.step()
+	}
+	return t
+}
+
+// Whatever happens to messages, leaves, nodes and roots, the leaves together may use the limit at most, and much of it is used.
+func TestTreeKeepsTheLimit(t *testing.T) {
+	first, n := uint64(fromEnv("STAIRVANE_SEED", 1)), fromEnv("STAIRVANE_SEEDS", 500)
+	t.Logf("seeds from %d on", first)
+	used, wanted, worst := 0.0, 0.0, 0.0
+	for i := range n {
+		seed := first + uint64(i)
+		w := playTree(seed, 20*time.Second)
+		if w.worst > 1+1e-9 {
+			t.Fatalf("seed %d: %v of what may be in force is", seed, w.worst)
+		}
+		worst = max(worst, w.worst)
+		if !w.hard {
+			used, wanted = used+w.used, wanted+w.wanted
+		}
+	}
+	t.Logf("at worst %.3f of what may be in force; %.1f %% of what could be was in use", worst, 100*used/wanted)
+	if used < 0.4*wanted {
+		t.Errorf("only %.1f %% of what could be was in use", 100*used/wanted)
+	}
+}
