Name what is left in the quota package as the field does

Cause: the package still had beats, granters and fields like gaveUp and back, of the withdrawn style.

Exported names and keys on the wire stay. No behaviour changes.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -12,42 +12,42 @@
 // NewAllocator makes an allocator, the root. One that takes over from another gives nothing until what that one gave is over,
 // to holders and to nodes.
 func NewAllocator(set Settings, epoch int64, now time.Duration, first bool) *Allocator {
-	g := &Allocator{divider: newDivider(set), epoch: epoch, since: now}
+	a := &Allocator{divider: newDivider(set), epoch: epoch, since: now}
 	if first {
-		g.since -= max(set.waits(), set.nodeWaits()) + set.fades()
+		a.since -= max(set.waits(), set.nodeWaits()) + set.fades()
 	}
-	return g
+	return a
 }
 
 // Renew takes a renewal in and answers it. One that comes again, or after a later one, is answered with nothing, and so are
 // all while the allocator waits for what the one before it gave: such an answer has no Seq, and no holder takes it, so that
 // what it has stays in force and counted. The cost of a call does not grow with the number of holders, but for Turns.
-func (g *Allocator) Renew(r Renewal, now time.Duration) Grant {
-	answer := Grant{Holder: r.Holder, Epoch: g.epoch}
-	if !g.accept(r) {
+func (a *Allocator) Renew(r Renewal, now time.Duration) Grant {
+	answer := Grant{Holder: r.Holder, Epoch: a.epoch}
+	if !a.accept(r) {
 		return answer
 	}
-	now = g.clock(now)
-	wanted := g.note(r, now)
-	if now < g.since+max(g.set.waits(), g.set.nodeWaits()) {
+	now = a.clock(now)
+	wanted := a.note(r, now)
+	if now < a.since+max(a.set.waits(), a.set.nodeWaits()) {
 		return answer
 	}
 	answer.Seq = r.Seq
 	for _, name := range wanted {
-		shared := 1 - g.set.Reserve
-		of := budget{part: shared, even: shared / float64(max(1, g.limits[name].weight))}
-		answer.Parts = append(answer.Parts, g.share(name, r, of, now))
+		shared := 1 - a.set.Reserve
+		of := budget{part: shared, even: shared / float64(max(1, a.limits[name].weight))}
+		answer.Parts = append(answer.Parts, a.share(name, r, of, now))
 	}
-	reserve := g.set.Reserve
-	if now < g.since+g.set.nodeWaits()+g.set.fades() { // what the one before it gave has not faded yet
+	reserve := a.set.Reserve
+	if now < a.since+a.set.nodeWaits()+a.set.fades() { // what the one before it gave has not faded yet
 		reserve = 0
 	}
-	answer.Fallback = g.fallback(r, reserve, now)
+	answer.Fallback = a.fallback(r, reserve, now)
 	return answer
 }
 
 // Held lists what is in force and who waits.
-func (g *Allocator) Held(now time.Duration) []Held { return g.held(now) }
+func (a *Allocator) Held(now time.Duration) []Held { return a.held(now) }
 
 // Sweep forgets, in some calls, limits that nobody holds or wants any more. It is to be called several times a second.
-func (g *Allocator) Sweep(now time.Duration) { g.sweep(now) }
+func (a *Allocator) Sweep(now time.Duration) { a.sweep(now) }
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// BenchmarkNodeRenewal is one renewal of a node with 400 leaves that want 8 limits, with the size of what is said.
+// BenchmarkNodeRenewal is one renewal of a node with 400 leaves that want 8 limits, with the size of what is sent.
 func BenchmarkNodeRenewal(b *testing.B) {
 	node := NewNode("n", treeSet())
 	for i := range 400 {
@@ -69,9 +69,9 @@
 	for b.Loop() {
 		node.Renewal(0)
 	}
-	said, err := json.Marshal(node.Renewal(0))
+	sent, err := json.Marshal(node.Renewal(0))
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.ReportMetric(float64(len(said)), "bytes")
+	b.ReportMetric(float64(len(sent)), "bytes")
 }
--- a/internal/quota/divider.go
+++ b/internal/quota/divider.go
@@ -193,7 +193,7 @@
 	}
 	d.demands = d.demands[:0]
 	for _, a := range l.order {
-		if now < a.renewed+a.waits { // one that was not heard of for so long wants nothing
+		if now < a.renewed+a.waits { // one that did not renew for so long wants nothing
 			d.demands = d.scaled(d.demands, a.demand)
 		}
 	}
--- a/internal/quota/explore_test.go
+++ b/internal/quota/explore_test.go
@@ -9,19 +9,19 @@
 	"time"
 )
 
-// world is two granters, the second of which takes over at some moment, three holders of one limit, and what is on its way.
+// world is two allocators, the second of which takes over at some moment, three holders of one limit, and what is on its way.
 // Holders' clocks run fast, right and slow by the drift.
 type world struct {
-	now      time.Duration
-	granters [2]*Allocator
-	leads    int
-	holders  [3]*Holder
-	wants    [3]float64
-	net      []flight
-	beats    int
-	speak    int     // holders that say anything
-	most     int     // beats of all together
-	before   [3]bool // guard taken out: parts count from when they come
+	now        time.Duration
+	allocators [2]*Allocator
+	leads      int
+	holders    [3]*Holder
+	wants      [3]float64
+	net        []flight
+	renewals   int
+	renewing   int     // holders that renew
+	most       int     // renewals of all together
+	before     [3]bool // guard taken out: parts count from when they come
 }
 
 var rates = [3]float64{1 - 0.02, 1, 1 + 0.02}
@@ -40,7 +40,7 @@
 
 func (w *world) clone() *world {
 	c := *w
-	for i, g := range w.granters {
+	for i, g := range w.allocators {
 		if g == nil {
 			continue
 		}
@@ -51,27 +51,27 @@
 			k.pool, k.queue = l.pool.clone(), slices.Clone(l.queue)
 			n.limits[name] = &k
 		}
-		c.granters[i] = &n
+		c.allocators[i] = &n
 	}
 	for i, h := range w.holders {
 		n := *h
-		n.asked, n.parts, n.wants, n.gaveUp = maps.Clone(h.asked), maps.Clone(h.parts), maps.Clone(h.wants), maps.Clone(h.gaveUp)
+		n.asked, n.parts, n.wants, n.releasedAt = maps.Clone(h.asked), maps.Clone(h.parts), maps.Clone(h.wants), maps.Clone(h.releasedAt)
 		c.holders[i] = &n
 	}
 	c.net = slices.Clone(w.net)
 	return &c
 }
 
-// step gives the worlds that may follow: a holder says a beat, whatever is on its way comes, in any order, or never; time passes,
-// up to more than a lease; the second granter takes over, and the first may still answer.
+// step gives the worlds that may follow: a holder renews, whatever is on its way comes, in any order, or never; time passes,
+// up to more than a lease; the second allocator takes over, and the first may still answer.
 func (w *world) step(visit func(*world)) {
 	for i := range w.holders {
-		if i < w.speak && w.beats < w.most {
+		if i < w.renewing && w.renewals < w.most {
 			c := w.clone()
-			c.beats++
+			c.renewals++
 			c.holders[i].Want(Want{Limit: "box", Kind: Rate, Demand: c.wants[i]})
 			b := c.holders[i].Renewal(c.clock(i))
-			c.net = append(c.net, flight{from: i, beat: &b})
+			c.net = append(c.net, flight{from: i, renewal: &b})
 			visit(c)
 		}
 	}
@@ -81,13 +81,13 @@
 			x := c.net[n]
 			c.net = slices.Delete(c.net, n, n+1)
 			switch {
-			case x.beat == nil && at == 0:
+			case x.renewal == nil && at == 0:
 				if c.before[x.from] {
 					c.holders[x.from].asked[x.grant.Seq] = c.clock(x.from)
 				}
 				c.holders[x.from].Take(*x.grant, c.clock(x.from))
-			case x.beat != nil && c.granters[at] != nil && at <= c.leads:
-				g := c.granters[at].Renew(*x.beat, c.now)
+			case x.renewal != nil && c.allocators[at] != nil && at <= c.leads:
+				g := c.allocators[at].Renew(*x.renewal, c.now)
 				c.net = append(c.net, flight{from: x.from, grant: &g})
 			default:
 				continue
@@ -104,7 +104,7 @@
 	}
 	if w.leads == 0 {
 		c := w.clone()
-		c.leads, c.granters[1] = 1, NewAllocator(exploreSet, 2, c.now, false)
+		c.leads, c.allocators[1] = 1, NewAllocator(exploreSet, 2, c.now, false)
 		visit(c)
 	}
 }
@@ -116,8 +116,8 @@
 func (w *world) key() uint64 {
 	var h maphash.Hash
 	h.SetSeed(exploreSeed)
-	fmt.Fprint(&h, w.now, w.leads, w.beats)
-	for _, g := range w.granters {
+	fmt.Fprint(&h, w.now, w.leads, w.renewals)
+	for _, g := range w.allocators {
 		if g != nil {
 			fmt.Fprint(&h, g.since, g.last)
 			for _, p := range []pool{g.reserve, g.box()} {
@@ -129,11 +129,11 @@
 		}
 	}
 	for _, x := range w.holders {
-		fmt.Fprint(&h, x.seq, x.epoch, x.taken, x.asked, x.parts, x.back, x.backed)
+		fmt.Fprint(&h, x.seq, x.epoch, x.taken, x.asked, x.parts, x.fallback, x.takenFrom)
 	}
 	for _, f := range w.net {
-		if f.beat != nil {
-			fmt.Fprint(&h, f.from, *f.beat)
+		if f.renewal != nil {
+			fmt.Fprint(&h, f.from, *f.renewal)
 		} else {
 			fmt.Fprint(&h, f.from, *f.grant)
 		}
@@ -148,9 +148,9 @@
 	return pool{}
 }
 
-func explore(depth, speak, most int, before bool) (states int, worst float64) {
-	w := &world{speak: speak, most: most, wants: [3]float64{1, 1, 0.1}, before: [3]bool{before, before, before}}
-	w.granters[0] = NewAllocator(exploreSet, 1, 0, true)
+func explore(depth, renewing, most int, before bool) (states int, worst float64) {
+	w := &world{renewing: renewing, most: most, wants: [3]float64{1, 1, 0.1}, before: [3]bool{before, before, before}}
+	w.allocators[0] = NewAllocator(exploreSet, 1, 0, true)
 	for i := range w.holders {
 		w.holders[i] = NewHolder(fmt.Sprint("d", i), exploreSet)
 	}
@@ -178,7 +178,7 @@
 	return len(seen), worst
 }
 
-// Every order of beats, grants, loss, delay, pauses and deaths (whoever is not heard of any more) for two granters, three holders
+// Every order of renewals, grants, loss, delay, pauses and deaths (whoever renews no more) for two allocators, three holders
 // and one limit, to a depth: the sum of what may be used never passes the limit. STAIRVANE_DEPTH goes deeper.
 func TestExploreTurns(t *testing.T) {
 	depth := fromEnv("STAIRVANE_DEPTH", 6)
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -12,8 +12,8 @@
 //
 // At each moment all leaf holders of the tree may use at most what is shared of a limit, since
 //   - what a node gives is over before its own lease of what it gives from: it answers nothing when too little of that is left;
-//   - a share that sank counts at the root at its old size until the node says that it has taken the new one, and it says so
-//     once what its holders may still use fits into it;
+//   - a share that sank counts at the root at its old size until the node's renewals name the new one as taken, which is once
+//     what its holders may still use fits into it;
 //   - the fallback that the root grants is a reserve that the node divides by the same rules. It is counted whole for the
 //     node's lease, within which the node grants from it, and fades from then on, not faster than any of its holders'.
 //
@@ -26,11 +26,11 @@
 	takenFallback uint64
 }
 
-// groupsMost bounds the size of a want. Holders are told apart by demand in so many groups, so that where the level of the
+// groupsMost bounds the size of a want. Holders are divided by demand into so many groups, so that where the level of the
 // division lies within a group, at most that share of the holders is taken for the mean of it.
 const groupsMost = 16
 
-const demandGrains = 1e7 // to which demands of groups are rounded, to keep what is said short
+const demandGrains = 1e7 // to which demands of groups are rounded, to keep renewals short
 
 // NewNode makes a node that has nothing.
 func NewNode(id string, set Settings) *Node {
@@ -39,7 +39,7 @@
 	return &Node{divider: newDivider(set), id: id, parent: NewHolder(id, upwards), taken: map[string]uint64{}}
 }
 
-// Renewal is what is to be said to the root now. It takes a look at all holders.
+// Renewal is what is to be sent to the root now. It takes a look at all holders.
 func (n *Node) Renewal(now time.Duration) Renewal {
 	now = n.clock(now)
 	for name, l := range n.limits {
@@ -54,7 +54,7 @@
 		}
 	}
 	n.reserve.countAll(now)
-	if n.reserve.used <= n.parent.back {
+	if n.reserve.used <= n.parent.fallback {
 		n.takenFallback = n.parent.taken
 	}
 	r := n.parent.Renewal(now)
@@ -133,13 +133,13 @@
 	for _, name := range wanted {
 		answer.Parts = append(answer.Parts, n.shareOf(name, r, now))
 	}
-	answer.Fallback = n.fallback(r, n.parent.back, now)
+	answer.Fallback = n.fallback(r, n.parent.fallback, now)
 	return answer
 }
 
 // outlasts tells whether the node's lease lasts longer than what would be granted now.
 func (n *Node) outlasts(now time.Duration) bool {
-	return n.parent.taken > 0 && now+n.set.waits() <= n.parent.backed+n.set.NodeLease
+	return n.parent.taken > 0 && now+n.set.waits() <= n.parent.takenFrom+n.set.NodeLease
 }
 
 func (n *Node) shareOf(name string, r Renewal, now time.Duration) Share {
--- a/internal/quota/node_test.go
+++ b/internal/quota/node_test.go
@@ -7,16 +7,16 @@
 	"time"
 )
 
-// parent grants a node whatever share it is told to, and counts it.
-type parent struct {
+// fakeParent grants a node whatever share it is set to, and counts it.
+type fakeParent struct {
 	divider
 	node *Node
 }
 
-func newParent() *parent { return &parent{newDivider(treeSet()), NewNode("n", treeSet())} }
+func newFakeParent() *fakeParent { return &fakeParent{newDivider(treeSet()), NewNode("n", treeSet())} }
 
 // renew has the node renew.
-func (p *parent) renew(part float64, now time.Duration) {
+func (p *fakeParent) renew(part float64, now time.Duration) {
 	r := p.node.Renewal(now)
 	g := Grant{Holder: "n", Seq: r.Seq}
 	for _, name := range p.note(r, now) {
@@ -27,7 +27,7 @@
 }
 
 // excess is by how much what leaves may use passes what the parent counts.
-func (p *parent) excess(leaves []*Holder, now time.Duration) float64 {
+func (p *fakeParent) excess(leaves []*Holder, now time.Duration) float64 {
 	p.sweep(now)
 	counted := 0.0
 	shares, _ := inForce(leaves, now)
@@ -43,12 +43,12 @@
 		if leaf.Granted("box", now) {
 			shares += leaf.Part("box", now)
 		}
-		fallbacks += leaf.back * max(0, 1-float64(now-leaf.backed)/float64(leaf.set.Fades))
+		fallbacks += leaf.fallback * max(0, 1-float64(now-leaf.takenFrom)/float64(leaf.set.Fades))
 	}
 	return shares, fallbacks
 }
 
-func (p *parent) leaf(h *Holder, demand float64, lost bool, now time.Duration) {
+func (p *fakeParent) leaf(h *Holder, demand float64, lost bool, now time.Duration) {
 	h.Want(Want{Limit: "box", Kind: Rate, Demand: demand})
 	if g := p.node.Renew(h.Renewal(now), now); !lost {
 		h.Take(g, now)
@@ -59,7 +59,7 @@
 // they had before the share sank, however long. They are not granted it again, be it that the share sinks on and on.
 func TestShareThatSinksIsNotRenewed(t *testing.T) {
 	for _, further := range []float64{0, 0.001} {
-		p, leaves, part, now := newParent(), []*Holder{NewHolder("a", treeSet()), NewHolder("b", treeSet())}, 0.8, time.Duration(0)
+		p, leaves, part, now := newFakeParent(), []*Holder{NewHolder("a", treeSet()), NewHolder("b", treeSet())}, 0.8, time.Duration(0)
 		for i := range 80 {
 			now += 60 * ms // longer than a filling holds
 			if i == 20 {
@@ -84,30 +84,30 @@
 	}
 }
 
-// party is a leaf that renews, without any delay, with the root or a node.
-type party struct {
+// fakeLeaf is a leaf that renews, without any delay, with the root or a node.
+type fakeLeaf struct {
 	leaf *Holder
 	with func(Renewal, time.Duration) Grant
 	rate float64
 }
 
-func (p *party) renew(now time.Duration, demand float64) {
+func (p *fakeLeaf) renew(now time.Duration, demand float64) {
 	at := time.Duration(float64(now) * p.rate)
 	p.leaf.Want(Want{Limit: "box", Kind: Rate, Demand: demand})
 	p.leaf.Take(p.with(p.leaf.Renewal(at), now), at)
 }
 
-func (p *party) share(now time.Duration) float64 {
+func (p *fakeLeaf) share(now time.Duration) float64 {
 	shares, _ := inForce([]*Holder{p.leaf}, time.Duration(float64(now)*p.rate))
 	return shares
 }
 
-// grove is a root, and leaves with it and with nodes: so many with each.
-func grove(atRoot int, withNodes ...int) (root *Allocator, nodes []*Node, parties []*party) {
+// newFakes is a root, and leaves with it and with nodes: so many with each.
+func newFakes(atRoot int, withNodes ...int) (root *Allocator, nodes []*Node, leaves []*fakeLeaf) {
 	root = NewAllocator(treeSet(), 1, 0, true)
 	add := func(n int, with func(Renewal, time.Duration) Grant) {
 		for range n {
-			parties = append(parties, &party{NewHolder(fmt.Sprint("d", len(parties)), treeSet()), with, 1})
+			leaves = append(leaves, &fakeLeaf{NewHolder(fmt.Sprint("d", len(leaves)), treeSet()), with, 1})
 		}
 	}
 	add(atRoot, root.Renew)
@@ -115,7 +115,7 @@
 		nodes = append(nodes, NewNode(fmt.Sprint("n", i), treeSet()))
 		add(leaves, nodes[i].Renew)
 	}
-	return root, nodes, parties
+	return root, nodes, leaves
 }
 
 // Each has its max-min part of the whole, whatever node it is with, up to 10 %: the parts that are kept within 5 % of what is
@@ -123,8 +123,8 @@
 func TestTreeIsFair(t *testing.T) {
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 9))
-		root, nodes, parties := grove(3, 1, 10, 60)
-		demands := make([]float64, len(parties))
+		root, nodes, leaves := newFakes(3, 1, 10, 60)
+		demands := make([]float64, len(leaves))
 		for i := range demands {
 			demands[i] = min(1, 0.03*rng.ExpFloat64()*rng.ExpFloat64())
 		}
@@ -134,12 +134,12 @@
 			for _, node := range nodes {
 				node.Take(root.Renew(node.Renewal(now), now), now)
 			}
-			for i, p := range parties {
+			for i, p := range leaves {
 				p.renew(now, demands[i])
 			}
 		}
 		want := MaxMin(demands, treeSet().Floor/float64(len(demands)))
-		for i, p := range parties {
+		for i, p := range leaves {
 			if got := p.share(now) / (1 - treeSet().Reserve); got < 0.9*want[i] || got > 1.1*want[i] {
 				t.Errorf("seed %d: leaf %d, demand %.4f, has %.4f, fair is %.4f", seed, i, demands[i], got, want[i])
 			}
@@ -151,10 +151,10 @@
 // by the slowest clock, and is in use by another soon after.
 func TestSlowClocksAndFastRoot(t *testing.T) {
 	for _, behindNode := range []bool{false, true} {
-		root, nodes, parties := grove(2, 1)
-		silent, other := parties[0], parties[1]
+		root, nodes, leaves := newFakes(2, 1)
+		silent, other := leaves[0], leaves[1]
 		if behindNode {
-			silent = parties[2]
+			silent = leaves[2]
 		}
 		silent.rate, other.with = 0.99, func(r Renewal, now time.Duration) Grant { return root.Renew(r, now*101/100) }
 		silent.with = other.with
@@ -186,7 +186,7 @@
 // those of another within 700 ms, and what a node had that dies with its leaves within 1,600 ms.
 func TestTreeMovesCapacity(t *testing.T) {
 	for dies, within := range map[bool]time.Duration{false: 700 * ms, true: 1600 * ms} {
-		root, nodes, parties := grove(0, 5, 5)
+		root, nodes, leaves := newFakes(0, 5, 5)
 		const change = 2 * time.Second
 		now, sum, fair := time.Duration(0), 0.0, 0.72
 		if dies {
@@ -200,7 +200,7 @@
 				}
 			}
 			sum = 0
-			for i, p := range parties {
+			for i, p := range leaves {
 				first := i < 5
 				if (now/ms+20*time.Duration(i))%100 == 0 && (!first || !dies || now < change) {
 					demand := 1.0
@@ -223,8 +223,8 @@
 
 // A renewal that comes twice, one of a node at a node, one while nothing is leased, and turns: none of them is granted anything.
 func TestNodeAnswersWithNothing(t *testing.T) {
-	root, nodes, parties := grove(0, 1)
-	node, leaf, now := nodes[0], parties[0].leaf, 50*ms
+	root, nodes, leaves := newFakes(0, 1)
+	node, leaf, now := nodes[0], leaves[0].leaf, 50*ms
 	leaf.Want(Want{Limit: "box", Kind: Rate, Demand: 1})
 	leaf.Want(Want{Limit: "look", Kind: Turns, Demand: 1})
 	if g := node.Renew(leaf.Renewal(now), now); g.Seq != 0 || node.Leased(now) {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -33,7 +33,7 @@
 	records []record      // oldest first: parts sink, ends rise
 	used    float64       // the most of what may be in use, as the pool counts it
 	recent  float64       // the same of records of the pool's generation
-	live    int           // weight, as the pool counts it while the account is heard of
+	live    int           // weight, as the pool counts it while the account renews
 	index   int           // in the pool's order
 }
 
@@ -55,7 +55,7 @@
 	used       float64       // total of the accounts' used
 	recent     float64       // total of the accounts' recent
 	live       int           // total of the accounts' live
-	weight     int           // total of the accounts' weights, heard of or not
+	weight     int           // total of the accounts' weights, renewing or not
 	fades      time.Duration // in which a part sinks to nothing at its end; 0: it is in force whole up to there
 	generation int           // rises when the budget sinks
 }
@@ -146,7 +146,7 @@
 	}
 }
 
-// advance counts so many accounts anew, those next in turn, and forgets those that have nothing and are not heard of.
+// advance counts so many accounts anew, those next in turn, and forgets those that have nothing and do not renew.
 func (p *pool) advance(accounts int, now time.Duration) (forgotten []string) {
 	for range min(accounts, len(p.order)) {
 		p.next %= max(1, len(p.order))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -10,7 +10,7 @@
 type Settings struct {
 	Lease   time.Duration // for how long a part may be used, by its holder's clock from before it was asked for
 	Drift   float64       // by which clocks run apart, as a share
-	Reserve float64       // of each rate, set aside for those who can have no part: each has been told what of it is its own
+	Reserve float64       // of each rate, set aside for those who can have no part: each knows from its grants what of it is its own
 	Fades   time.Duration // in which such a fallback sinks to nothing
 	Floor   float64       // of a rate, for each that wants anything, at least, as a share of an even part
 	Hold    float64       // a part is not changed for less than this share of it
@@ -58,14 +58,14 @@
 	Taken uint64 `json:"taken,omitempty"`
 }
 
-// groups are the demands behind a want; none for one that can't be meant. Whoever says that it wants a thousand times the
+// groups are the demands behind a want; none for one that can't be meant. Whoever demands a thousand times the
 // limit gets what anyone gets who wants all of it.
 func (w Want) groups(node bool) (groups []Group) {
-	said := w.Groups
+	demands := w.Groups
 	if !node {
-		said = []Group{{w.Demand, 1}}
+		demands = []Group{{w.Demand, 1}}
 	}
-	for _, group := range said {
+	for _, group := range demands {
 		if group.Demand > 0 && group.Count > 0 {
 			groups = append(groups, Group{min(group.Demand, 1), group.Count})
 		}
@@ -73,7 +73,7 @@
 	return groups
 }
 
-// Renewal is what a holder says of itself, again and again.
+// Renewal is what a holder sends again and again.
 type Renewal struct {
 	Holder string `json:"holder"`
 	Seq    uint64 `json:"seq"`   // rises with each renewal
@@ -81,7 +81,7 @@
 	Wants  []Want `json:"wants,omitempty"`
 
 	Node          bool   `json:"node,omitempty"`           // the holder is a node
-	Leaves        int    `json:"leaves,omitempty"`         // leaf holders behind a node, that it has heard of
+	Leaves        int    `json:"leaves,omitempty"`         // leaf holders behind a node, that have renewed within their lease
 	TakenFallback uint64 `json:"taken_fallback,omitempty"` // like Want.Taken, for the fallback
 }
 
@@ -96,7 +96,7 @@
 type Grant struct {
 	Holder string  `json:"holder"`           // whose renewal: nobody else takes it, and no later process under the same name
 	Source string  `json:"source,omitempty"` // the node that grants; empty: the root
-	Epoch  int64   `json:"epoch"`            // of the root: what a later one has said is not undone by an older one; 0 from nodes
+	Epoch  int64   `json:"epoch"`            // of the root: a later one's grants are not undone by an older one's; 0 from nodes
 	Seq    uint64  `json:"seq"`              // of the renewal; 0: it is answered with nothing
 	Parts  []Share `json:"parts,omitempty"`
 	// Fallback is the part of each rate that may be used where no part is in force; it fades.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -49,19 +49,19 @@
 	})
 }
 
-// fleet is some holders, a granter that may change, and messages that take any time or are lost.
+// fleet is some holders, an allocator that may change, and messages that take any time or are lost.
 type fleet struct {
-	rng     *rand.Rand
-	now     time.Duration
-	holders []*simHolder
-	granter *Allocator
-	epoch   int64
-	old     []*Allocator // of before; one that was paused may answer what had come to it
-	net     []flight
-	worst   float64
-	unused  time.Duration // for how long together less than half of the limit was out though all wanted it
-	receipt bool          // guard: parts count from before the asking
-	noEpoch bool          // guard: a new granter waits
+	rng       *rand.Rand
+	now       time.Duration
+	holders   []*simHolder
+	allocator *Allocator
+	epoch     int64
+	old       []*Allocator // of before; one that was paused may answer what had come to it
+	net       []flight
+	worst     float64
+	unused    time.Duration // for how long together less than half of the limit was out though all wanted it
+	receipt   bool          // guard: parts count from before the asking
+	noEpoch   bool          // guard: a new allocator waits
 }
 
 type simHolder struct {
@@ -75,10 +75,10 @@
 }
 
 type flight struct {
-	from  int
-	beat  *Renewal
-	grant *Grant
-	at    time.Duration
+	from    int
+	renewal *Renewal
+	grant   *Grant
+	at      time.Duration
 }
 
 func (f *fleet) clock(h *simHolder) time.Duration {
@@ -98,7 +98,7 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	return &fleet{rng: rand.New(rand.NewPCG(seed, 3)), granter: NewAllocator(set(), 1, 0, true), epoch: 1}
+	return &fleet{rng: rand.New(rand.NewPCG(seed, 3)), allocator: NewAllocator(set(), 1, 0, true), epoch: 1}
 }
 
 func (f *fleet) add(i int) {
@@ -114,9 +114,9 @@
 func (f *fleet) step() {
 	f.now += 10 * ms
 	switch f.rng.IntN(300) {
-	case 0: // another granter; the one before it answers what it has for a while
+	case 0: // another allocator; the one before it answers what it has for a while
 		f.epoch++
-		f.granter = NewAllocator(set(), f.epoch, f.now, f.noEpoch)
+		f.allocator = NewAllocator(set(), f.epoch, f.now, f.noEpoch)
 		f.net = nil
 	case 1:
 		f.holders[f.rng.IntN(len(f.holders))].paused = f.now + time.Duration(f.rng.IntN(2000))*ms
@@ -131,14 +131,14 @@
 		if f.now < h.paused || f.rng.IntN(10) > 0 {
 			continue
 		}
-		if f.rng.IntN(30) == 0 { // it gives up what it has, and wants it again with the next beat
+		if f.rng.IntN(30) == 0 { // it gives up what it has, and wants it again with the next renewal
 			h.h.Want(Want{Limit: "box", Kind: Rate})
 		} else {
 			h.h.Want(Want{Limit: "box", Kind: Rate, Demand: h.demand})
 		}
 		b := h.h.Renewal(f.clock(h))
 		if f.now >= h.cut && f.rng.IntN(20) > 0 {
-			f.net = append(f.net, flight{from: i, beat: &b, at: f.now + time.Duration(f.rng.IntN(120))*ms})
+			f.net = append(f.net, flight{from: i, renewal: &b, at: f.now + time.Duration(f.rng.IntN(120))*ms})
 		}
 	}
 	var left []flight
@@ -147,8 +147,8 @@
 		switch {
 		case f.now < x.at || f.now < h.paused:
 			left = append(left, x)
-		case x.beat != nil:
-			g := f.granter.Renew(*x.beat, f.now)
+		case x.renewal != nil:
+			g := f.allocator.Renew(*x.renewal, f.now)
 			left = append(left, flight{from: x.from, grant: &g, at: f.now + time.Duration(f.rng.IntN(200))*ms})
 		default:
 			if f.receipt {
@@ -199,8 +199,8 @@
 	}
 }
 
-// A grant that was late for a holder that died is not taken by the process that came in its place, though that one has said a
-// beat of the same number: the limit was passed by 0.18 when it was.
+// A grant that was late for a holder that died is not taken by the process that came in its place, though that one has sent a
+// renewal of the same number: the limit was passed by 0.18 when it was.
 func TestGrantOfTheOneBefore(t *testing.T) {
 	if f := play(419623448, 2, 20*time.Second, ""); f.worst > 1+1e-9 {
 		t.Errorf("%v of the limit may be used", f.worst)
