Divide quotas through relays, and test relays as processes

Cause: the leader's side of relays' sessions and quota nodes are there; the relay divided no quota yet, and no run with replicas was made.

Change: a relay is a quota.Node, by the settings that the leader counts with (a node's lease is 1 s).

--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -17,11 +17,12 @@
 	"stairvane.org/stairvane/internal/membership"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
 	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/relay"
 	"stairvane.org/stairvane/internal/signals"
 )
 
 // turnsSettings are those of the directors, see internal/program.
-var turnsSettings = quota.Settings{Lease: rollLease, Drift: rollDrift, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
+var turnsSettings = relay.QuotaSettings
 
 const (
 	rollLease  = 400 * time.Millisecond // as the directors count, see internal/program
--- /dev/null
+++ b/internal/controlplane/replicas/region_test.go
@@ -0,0 +1,298 @@
+package replicas_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/fleet"
+	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/standin"
+	"stairvane.org/stairvane/internal/standin/rig"
+)
+
+// region is a group of replicas with relays, and directors that know the relays alone.
+type region struct {
+	t         *testing.T
+	replicas  *rig.Boards
+	relays    []*rig.Relay
+	directors []*rig.Director
+	client    *api.Client
+	ids       []string // of the directors
+}
+
+// startRegion starts replicas, relays and directors, which are spread over the relays, and waits until all directors are members.
+func startRegion(t *testing.T, relays, directors int, forms string) *region {
+	t.Helper()
+	r := &region{t: t, replicas: group(t, 3, 0)}
+	for i := range relays {
+		relay, err := r.replicas.NewRelay(fmt.Sprintf("r%d", i+1), "west", "")
+		check(t, err)
+		check(t, relay.Start())
+		t.Cleanup(relay.Close)
+		r.relays = append(r.relays, relay)
+	}
+	for i := range directors {
+		d, err := r.replicas.StartDirectorAt(fmt.Sprintf("d-%d", i), "west", r.relays, i, forms)
+		check(t, err)
+		t.Cleanup(d.Kill)
+		r.directors = append(r.directors, d)
+	}
+	var err error
+	r.client, err = r.replicas.Client()
+	check(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			r.printLogs()
+		}
+	})
+	r.until("all directors are members", func(roll api.Roll) bool { return len(roll.Directors) == directors })
+	r.ids = r.members()
+	return r
+}
+
+func (r *region) printLogs() {
+	for _, relay := range r.relays {
+		r.t.Logf("%s:\n%s", relay.Name, strings.Join(relay.Log(), "\n"))
+	}
+	for _, d := range r.directors {
+		r.t.Logf("%s:\n%s", d.Name, strings.Join(d.Log(), "\n"))
+	}
+}
+
+// members are the IDs of the directors that are announced to all.
+func (r *region) members() (ids []string) {
+	r.t.Helper()
+	roll, err := r.client.Roll()
+	check(r.t, err)
+	for _, d := range roll.Directors {
+		ids = append(ids, d.ID())
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// purge purges a group and gives the event's number.
+func (r *region) purge() int64 {
+	r.t.Helper()
+	number := 1
+	p, err := r.client.Purge(fleet.Purge{Group: &number})
+	check(r.t, err)
+	return p.No
+}
+
+// arrived waits until all directors have an event, from a line of their logs on, and tells how long that took.
+func (r *region) arrived(no int64, from []int, limit time.Duration) (took time.Duration) {
+	r.t.Helper()
+	began := time.Now()
+	for i, d := range r.directors {
+		for at := from[i]; ; {
+			event, next, err := d.Event("bulletin.purge", at, max(time.Millisecond, limit-time.Since(began)))
+			if err != nil {
+				r.t.Errorf("event %d: %v", no, err)
+				break
+			}
+			if at = next; event["no"] == float64(no) {
+				break
+			}
+		}
+	}
+	return time.Since(began)
+}
+
+// lines are the lengths of the directors' logs.
+func (r *region) lines() (all []int) {
+	for _, d := range r.directors {
+		all = append(all, d.Lines())
+	}
+	return all
+}
+
+// during makes a fault and purges all the while until every director is served by one of some relays again. All purges must
+// arrive, and all directors stay members.
+func (r *region) during(what string, fault func(), by ...*rig.Relay) {
+	r.t.Helper()
+	from := r.lines()
+	fault()
+	began := time.Now()
+	var purges []int64
+	for len(purges) < 10 || !r.servedBy(by) {
+		if time.Since(began) > patience {
+			r.t.Fatalf("%s: not all directors are served by the relays that are left", what)
+		}
+		purges = append(purges, r.purge())
+		time.Sleep(30 * time.Millisecond)
+	}
+	r.t.Logf("%s: all directors are back after at most %v", what, time.Since(began).Round(time.Millisecond))
+	for _, no := range purges {
+		r.arrived(no, from, patience)
+	}
+	if ids := r.members(); !slices.Equal(ids, r.ids) {
+		r.t.Errorf("%s: members are %v, not %v", what, ids, r.ids)
+	}
+}
+
+// servedBy tells whether the leader counts all directors as those of some relays.
+func (r *region) servedBy(by []*rig.Relay) bool {
+	r.t.Helper()
+	roll, err := r.client.Roll()
+	check(r.t, err)
+	served := 0
+	for _, relay := range roll.Relays {
+		if slices.ContainsFunc(by, func(b *rig.Relay) bool { return b.Name == relay.Name }) {
+			served += relay.Directors
+		}
+	}
+	return served == len(r.directors)
+}
+
+// gone are the directors that were ever announced as gone.
+func (r *region) gone() (ids []string) {
+	r.t.Helper()
+	h, err := r.client.History(0)
+	check(r.t, err)
+	for _, e := range h.Events {
+		if e.Roll != nil {
+			ids = append(ids, e.Roll.Gone...)
+		}
+	}
+	return ids
+}
+
+// until waits until the leader's list of directors and relays is as it must become.
+func (r *region) until(what string, is func(api.Roll) bool) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		roll, err := r.client.Roll()
+		check(r.t, err)
+		if is(roll) {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatalf("%s: never; %+v", what, roll)
+		}
+	}
+}
+
+// Directors know two relays alone. Purges reach all of them in time; while a relay is killed, the leader is killed, and a relay
+// is cut off, purges go on and all of them arrive, and no director is ever announced as gone.
+func TestDirectorsBehindRelays(t *testing.T) {
+	r := startRegion(t, 2, 4, "")
+	first, second := r.relays[0], r.relays[1]
+	for range 5 {
+		from := r.lines()
+		no := r.purge()
+		if took := r.arrived(no, from, patience); took > within(300*time.Millisecond) {
+			t.Errorf("a purge took %v to reach all directors", took)
+		}
+	}
+	r.during("a relay is killed", first.Kill, second)
+	check(t, first.Start())
+	r.during("the leader is killed", func() {
+		leader := r.replicas.Leader(patience)
+		leader.Kill()
+		t.Cleanup(func() { _ = leader.Wait(patience) })
+	}, first, second)
+	r.during("a relay is cut off", func() { second.Cut(true) }, first)
+	if second.Count("relay.lease_lost") == 0 || second.Count("followers.let_go") == 0 {
+		t.Error("the relay that was cut off has let nobody go")
+	}
+	cutUntil := second.Lines()
+	second.Cut(false)
+	if _, _, err := second.Event("relay.back", cutUntil, patience); err != nil {
+		t.Error(err)
+	}
+	r.during("a relay leaves", func() { check(t, first.Leave(patience)) }, second)
+	r.until("the leader has dropped the session of the relay that left", func(roll api.Roll) bool { return len(roll.Relays) == 1 })
+	if gone := r.gone(); len(gone) > 0 {
+		t.Errorf("announced as gone: %v", gone)
+	}
+	r.directors[0].Kill()
+	r.until("a director that was killed is gone", func(roll api.Roll) bool { return len(roll.Directors) == len(r.directors)-1 })
+	if gone := r.gone(); len(gone) != 1 || gone[0][:3] != "d-0" {
+		t.Errorf("d-0 was killed; announced as gone: %v", gone)
+	}
+}
+
+// A cold cache is added under a load of which one director of four has most. Its quota goes through relays to the directors: the
+// leader's list names the relays alone, and their parts add up to at most all of it, also once one relay is killed and its
+// directors are at the other one. The cache is never sent more than what was planned for all together.
+func TestRelaysDivideTheQuotaOfAColdCache(t *testing.T) {
+	r := startRegion(t, 2, 4, "")
+	caches := startBoxes(t, 5)
+	now, _ := depot(caches)
+	applied(t, r.replicas, carryOut(t, r.replicas, now))
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for i, d := range r.directors {
+		served(t, d)
+		c, err := standin.Connect(d.Addr)
+		check(t, err)
+		pause := 200 * time.Millisecond
+		if i == 0 {
+			pause = 2 * time.Millisecond
+		}
+		load.Go(func() { ask(c, pause, stop) })
+		t.Cleanup(func() { c.Finish(2 * time.Second) })
+	}
+	next := now
+	next.Rules.Cache.WarmMS = 16000 // it begins with 0.17 of its share
+	next.Boxes = append(slices.Clone(now.Boxes), fleet.Box{Name: "c-3", Role: fleet.Cache, Address: caches[3].Addr(), Site: "west", Class: "std", Share: 4})
+	next.Normal()
+	carryOut(t, r.replicas, next)
+	r.parts("with both relays", "r1/", "r2/")
+	sent := len(caches[3].Orders())
+	r.relays[0].Kill()
+	r.parts("with one relay", "r2/")
+	r.until("the cache is sent more", func(api.Roll) bool { return len(caches[3].Orders()) > sent+20 })
+	close(stop)
+	load.Wait()
+	got, may := coldest(caches[3], 4, 200*time.Millisecond)
+	t.Logf("the fullest window of 3 s had %d requests, the cache falls at more than %.0f", got, may)
+	if got < 10 || float64(got) > may {
+		t.Errorf("a window of 3 s had %d requests, at %.0f the cache falls", got, may)
+	}
+}
+
+// ask asks for random objects with a pause between two until it is stopped.
+func ask(c *standin.Client, pause time.Duration, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+			object := rand.Uint64N(200)
+			if c.Ask("clips", 1+object, 5*time.Second, "group", fmt.Sprint(object), "mem", "1000") != nil {
+				return
+			}
+		}
+	}
+}
+
+// parts waits until some holders and no other have parts of a quota that add up to most of it, and checks that at no look they
+// add up to more than all of it.
+func (r *region) parts(when string, holders ...string) {
+	r.t.Helper()
+	var held []quota.Held
+	sum := 0.0
+	r.until("parts "+when, func(api.Roll) bool {
+		var err error
+		held, err = r.client.Turns()
+		check(r.t, err)
+		sum = 0
+		for _, h := range held {
+			sum += h.Part
+		}
+		if sum > 1.000001 {
+			r.t.Errorf("%s: the parts add up to %f: %+v", when, sum, held)
+		}
+		strange := func(h quota.Held) bool { return !slices.Contains(holders, h.Holder[:3]) }
+		return sum > 0.5 && len(held) == len(holders) && !slices.ContainsFunc(held, strange)
+	})
+	r.t.Logf("%s: %d parts add up to %.2f", when, len(held), sum)
+}
--- a/internal/controlplane/tls_test.go
+++ b/internal/controlplane/tls_test.go
@@ -11,6 +11,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,7 +19,9 @@
 	"time"
 
 	"stairvane.org/stairvane/internal/controlplane/api"
+	"stairvane.org/stairvane/internal/controlplane/relay"
 	"stairvane.org/stairvane/internal/controlplane/store"
+	"stairvane.org/stairvane/internal/controlplane/watch/watchtest"
 	"stairvane.org/stairvane/internal/fleet"
 	"stairvane.org/stairvane/internal/opfile"
 )
@@ -114,3 +117,53 @@
 		t.Errorf("%v", who)
 	}
 }
+
+// A relay whose certificate is of the control plane's authority gets a lease and serves; one with a strange certificate never does.
+func TestRelayOverTLS(t *testing.T) {
+	own, other := newAuthority(t, "ca"), newAuthority(t, "ca")
+	own.issue("board", own.cert, own.key)
+	own.issue("relay", own.cert, own.key)
+	other.issue("relay", other.cert, other.key)
+	set := settingsIn(t.TempDir())
+	set.Write = opfile.Write{TCP: loopback(), TLS: &opfile.TLS{Certificate: own.file("board.crt"), Key: own.file("board.key"), Clients: own.file("ca.crt")}}
+	b, err := New(set, Options{})
+	check(t, err)
+	run(t, b)
+	check(t, appendPurge(b.store, 1))
+	begin := func(a *authority, name string) netip.AddrPort {
+		set := opfile.DefaultRelay()
+		set.Name, set.Listen, set.Upstream = name, loopback(), []netip.AddrPort{netip.MustParseAddrPort(b.WriteAddr().String())}
+		set.TLS = &opfile.ClientTLS{Certificate: a.file("relay.crt"), Key: a.file("relay.key"), Authority: own.file("ca.crt")}
+		r, err := relay.New(set)
+		check(t, err)
+		run(t, r)
+		addr, err := r.Addr()
+		check(t, err)
+		return addr
+	}
+	strange, known := begin(other, "strange"), begin(own, "known")
+	serves := func(addr netip.AddrPort) bool {
+		d, err := watchtest.Dial(addr, "d", patience)
+		check(t, err)
+		defer d.Close()
+		status, _, err := d.Poll(0)
+		return err == nil && status == http.StatusOK && d.Last == 1
+	}
+	until(t, "the relay serves", func() bool { return serves(known) })
+	if serves(strange) || len(b.membership.Members().Relays) != 1 {
+		t.Errorf("a strange certificate was taken: %+v", b.membership.Members().Relays)
+	}
+}
+
+// run runs a process until the test ends.
+func run(t *testing.T, process interface {
+	Run() error
+	Stop()
+}) {
+	ended := make(chan error, 1)
+	go func() { ended <- process.Run() }()
+	t.Cleanup(func() {
+		process.Stop()
+		check(t, <-ended)
+	})
+}
--- /dev/null
+++ b/internal/relay/quota.go
@@ -0,0 +1,20 @@
+package relay
+
+import (
+	"time"
+
+	"stairvane.org/stairvane/internal/quota"
+)
+
+// QuotaSettings is how quotas are divided in a tree: by the leader among relays and the directors that watch replicas, and by
+// each relay among its own. Directors hold their parts by the same lease and drift, see internal/program. A relay may go without
+// an answer of the leader for somewhat more than half a second before it grants nothing more.
+var QuotaSettings = quota.Settings{
+	Lease:     400 * time.Millisecond,
+	Drift:     0.02,
+	Reserve:   0.2,
+	Fades:     20 * time.Second,
+	Floor:     0.2,
+	Hold:      0.05,
+	NodeLease: time.Second,
+}
