Let relays in only where the control plane's file says so

Cause: relays are off by default, yet every control plane took their calls, and a new leader waited for what a node may have been granted: 1 s without quotas instead of 0.4 s, and no acknowledged revision for 0.6 s, with no relay anywhere.

Change: (relays) in (board ...) lets them in; without it they are refused by a clear line, and a leader waits as before.

--- a/internal/controlplane/admin.go
+++ b/internal/controlplane/admin.go
@@ -76,7 +76,7 @@
 	mux.HandleFunc("POST /v1/applies", b.postApply)
 	mux.HandleFunc("POST /v1/applies/{id}/{order}", b.postOrder)
 	mux.HandleFunc("POST /v1/purges", b.postPurge)
-	mux.HandleFunc("POST "+relay.Path, b.postRelayLease)
+	mux.HandleFunc("POST "+relay.Path, b.withRelays(b.postRelayLease))
 	if b.group != nil {
 		b.group.Mount(mux)
 		mux.HandleFunc("GET /v1/copies", b.getCopies)
@@ -120,6 +120,16 @@
 	}
 }
 
+// withRelays refuses calls of relays where the file does not let them in.
+func (b *Server) withRelays(next http.HandlerFunc) http.HandlerFunc {
+	if b.set.Relays {
+		return next
+	}
+	return func(w http.ResponseWriter, _ *http.Request) {
+		fail(w, http.StatusForbidden, api.Error{Kind: api.NotAllowed, Message: "no relays are let in: (relays) is missing in (board ...)"})
+	}
+}
+
 func (b *Server) getCopies(w http.ResponseWriter, _ *http.Request) { reply(w, b.group.Status()) }
 
 func (b *Server) getAdoption(w http.ResponseWriter, r *http.Request) {
--- a/internal/controlplane/board_test.go
+++ b/internal/controlplane/board_test.go
@@ -53,7 +53,7 @@
 }
 
 func settingsIn(folder string) opfile.Board {
-	return opfile.Board{Listen: loopback(), Store: filepath.Join(folder, "board.db"), Write: opfile.Write{Unix: filepath.Join(folder, "s")}, SnapshotEvery: 1000, Keep: 1000, Batch: 64}
+	return opfile.Board{Listen: loopback(), Store: filepath.Join(folder, "board.db"), Write: opfile.Write{Unix: filepath.Join(folder, "s")}, SnapshotEvery: 1000, Keep: 1000, Batch: 64, Relays: true}
 }
 
 // start runs a board until the test ends.
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -21,8 +21,14 @@
 	"stairvane.org/stairvane/internal/signals"
 )
 
-// turnsSettings are those of the directors, see internal/program.
-var turnsSettings = relay.QuotaSettings
+// quotaSettings are those of the directors, see internal/program; without relays there are no nodes to wait for.
+func quotaSettings(relays bool) quota.Settings {
+	set := relay.QuotaSettings
+	if !relays {
+		set.NodeLease = 0
+	}
+	return set
+}
 
 const (
 	rollLease  = 400 * time.Millisecond // as the directors count, see internal/program
@@ -299,7 +305,7 @@
 	if leads && !k.leads {
 		k.roll.Begin(f, now)
 		// What the one before it has granted, within its own lease and for one more, is over by then.
-		k.granter = quota.NewAllocator(turnsSettings, k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
+		k.granter = quota.NewAllocator(quotaSettings(k.board.set.Relays), k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
 		k.health.merger = signals.NewMerger(signals.Usual, k.board.term())
 		k.record = adoption.New(adoptionKept, f.Revision)
 	} else if !leads {
--- a/internal/controlplane/relays.go
+++ b/internal/controlplane/relays.go
@@ -64,7 +64,7 @@
 func (b *Server) acknowledgedRevision() int64 {
 	own := b.watchedRevision()
 	within := time.Duration(b.store.Fleet().Rules().ToldWithinMS) * time.Millisecond
-	if within > 0 && !b.membership.settled() {
+	if b.set.Relays && within > 0 && !b.membership.settled() {
 		return 0
 	}
 	if b.group != nil {
--- a/internal/controlplane/replicas/processes_test.go
+++ b/internal/controlplane/replicas/processes_test.go
@@ -50,10 +50,13 @@
 }
 
 // group starts a group of copies, and prints what they logged if the test fails.
-func group(t testing.TB, copies, spares int) *rig.Boards {
+func group(t testing.TB, copies, spares int, options ...func(*rig.Boards)) *rig.Boards {
 	t.Helper()
 	s, err := rig.NewBoards(program, t.TempDir(), copies, spares)
 	check(t, err)
+	for _, option := range options {
+		option(s)
+	}
 	if os.Getenv("STAIRVANE_MEASURE") != "" {
 		s.Every = 10_000
 	}
--- a/internal/controlplane/replicas/region_test.go
+++ b/internal/controlplane/replicas/region_test.go
@@ -26,10 +26,13 @@
 	ids       []string // of the directors
 }
 
+// withRelays has a group let relays in.
+func withRelays(s *rig.Boards) { s.Relays = true }
+
 // startRegion starts replicas, relays and directors, which are spread over the relays, and waits until all directors are members.
 func startRegion(t *testing.T, relays, directors int, forms string) *region {
 	t.Helper()
-	r := &region{t: t, replicas: group(t, 3, 0)}
+	r := &region{t: t, replicas: group(t, 3, 0, withRelays)}
 	for i := range relays {
 		relay, err := r.replicas.NewRelay(fmt.Sprintf("r%d", i+1), "west", "")
 		check(t, err)
--- a/internal/controlplane/replicas/relays_test.go
+++ b/internal/controlplane/replicas/relays_test.go
@@ -99,7 +99,7 @@
 // meanwhile. Once it is silent all are.
 func TestRelayFollowsTheLeader(t *testing.T) {
 	const directors = 20
-	s := group(t, 3, 0)
+	s := group(t, 3, 0, withRelays)
 	r := &relayOfGroup{t: t, group: s, client: http.Client{Timeout: relay.Lease}}
 	r.session = relay.New(relay.Settings{Relay: membership.Relay{Name: "r", Incarnation: "1"}, Number: 77, DirectorLease: 400 * time.Millisecond, Drift: 0.02}, nil)
 	client, err := s.Client()
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -103,7 +103,7 @@
 	}
 	p, err := read("(unix board.sock)")
 	if err != nil || p.Board.Store != "etc/board.db" || p.Board.Write.Unix != "etc/board.sock" || p.Board.Observer.Misses != 3 ||
-		!p.Board.Followers.Contains(p.Board.Listen.Addr()) {
+		p.Board.Relays || !p.Board.Followers.Contains(p.Board.Listen.Addr()) {
 		t.Errorf("%v %+v", err, p)
 	}
 	if _, err = read("(tcp 10.1.1.1:80)"); err == nil || !strings.Contains(err.Error(), "only over TLS") {
@@ -112,6 +112,9 @@
 	if _, err = read("(tcp 10.1.1.1:80) (tls (certificate a) (key b) (clients c))"); err != nil {
 		t.Error(err)
 	}
+	if p, err = read("(unix board.sock)) (relays"); err != nil || !p.Board.Relays {
+		t.Error(err, "relays are not let in by the form")
+	}
 	if _, err = read("(tcp 127.0.0.1:80) (unix x)"); err == nil {
 		t.Error("both taken")
 	}
--- a/internal/opfile/program.go
+++ b/internal/opfile/program.go
@@ -22,7 +22,8 @@
 	Keep          int // events that are kept after a snapshot, for directors that were away
 	Batch         int // changes in one transaction, at most; 1: each has its own
 	Copies        Copies
-	ClaimCopies   int // directors, beside the one that decides, that hold a claim
+	ClaimCopies   int  // directors, beside the one that decides, that hold a claim
+	Relays        bool // relays may have sessions with it
 }
 
 // Copies is the group that the board is a copy of. Self is empty where there is one board alone.
@@ -162,6 +163,7 @@
 			{name: "batch", read: d.integer(&b.Batch, 1, 1<<16)},
 			{name: "copies", read: d.copies(b)},
 			{name: "claim-copies", read: d.integer(&b.ClaimCopies, 1, 6)},
+			{name: "relays", read: d.flag(&b.Relays)},
 		})
 		if b.Copies.Self != "" && b.Write.Unix != "" {
 			d.fault(n, key+".write", "the other copies call the write side: with (copies ...) it is (tcp ADDRESS)")
--- a/internal/standin/rig/boards.go
+++ b/internal/standin/rig/boards.go
@@ -22,6 +22,7 @@
 	Folder  string
 	Extra   string // further forms of (copies ...)
 	Hubs    bool   // directors fill from hub caches, of the class parent
+	Relays  bool   // relays are let in
 	Every   int    // events from one snapshot to the next; 0: 500
 	List    []*Board
 }
@@ -84,8 +85,12 @@
 		fmt.Fprintf(&list, "    (copy %s (address %s) (machine m-%s) (site s-%s)%s)\n", o.Name, at, o.Name, o.Name, spare)
 	}
 	path = filepath.Join(s.Folder, b.Name+".scm")
-	text := fmt.Sprintf("(board (listen 127.0.0.1:0) (store %s) (write (tcp 127.0.0.1:0)) (snapshot-every %d) (keep 100000)\n  (copies (self %s)\n%s    %s))\n",
-		filepath.Join(b.Folder, "board.db"), cmp.Or(s.Every, 500), b.Name, list.String(), s.Extra)
+	relays := ""
+	if s.Relays {
+		relays = " (relays)"
+	}
+	text := fmt.Sprintf("(board (listen 127.0.0.1:0) (store %s) (write (tcp 127.0.0.1:0)) (snapshot-every %d) (keep 100000)%s\n  (copies (self %s)\n%s    %s))\n",
+		filepath.Join(b.Folder, "board.db"), cmp.Or(s.Every, 500), relays, b.Name, list.String(), s.Extra)
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
