--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -17,11 +17,18 @@
 	"stairvane.org/stairvane/internal/membership"
 	"stairvane.org/stairvane/internal/protocol/bulletin"
 	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/relay"
 	"stairvane.org/stairvane/internal/signals"
 )
 
-// turnsSettings are those of the directors, see internal/program.
-var turnsSettings = quota.Settings{Lease: rollLease, Drift: rollDrift, Reserve: 0.2, Fades: 20 * time.Second, Floor: 0.2, Hold: 0.05}
+// quotaSettings are those of the directors, see internal/program; without relays there are no nodes to wait for.
+func quotaSettings(relays bool) quota.Settings {
+	set := relay.QuotaSettings
+	if !relays {
+		set.NodeLease = 0
+	}
+	return set
+}
 
 const (
 	rollLease  = 400 * time.Millisecond // as the directors count, see internal/program
@@ -96,7 +103,7 @@
 		return
 	}
 	k.beats[b.Holder] = b
-	if k.granter != nil && k.board.watches.hasLease() { // proven to lead a moment ago; else another may have granted since
+	if k.granter != nil && k.board.hasLease() { // proven to lead a moment ago; else another may have granted since
 		k.grants[b.Holder] = k.granter.Renew(b, now)
 		delete(k.beats, b.Holder)
 	}
@@ -298,7 +305,7 @@
 	if leads && !k.leads {
 		k.roll.Begin(f, now)
 		// What the one before it has granted, within its own lease and for one more, is over by then.
-		k.granter = quota.NewAllocator(turnsSettings, k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
+		k.granter = quota.NewAllocator(quotaSettings(k.board.set.Relays), k.board.term(), now+k.board.set.Copies.Lease, f.Roll() == nil)
 		k.health.merger = signals.NewMerger(signals.Usual, k.board.term())
 		k.record = adoption.New(adoptionKept, f.Revision)
 	} else if !leads {
--- a/internal/controlplane/relays.go
+++ b/internal/controlplane/relays.go
@@ -62,9 +62,9 @@
 // acknowledgedRevision is the number up to which every director has all events, those behind relays included. It is 0 for a
 // moment after a change of the leader, while there may be directors that are not known.
 func (b *Server) acknowledgedRevision() int64 {
-	own := b.watches.acknowledgedRevision()
+	own := b.watchedRevision()
 	within := time.Duration(b.store.Fleet().Rules().ToldWithinMS) * time.Millisecond
-	if within > 0 && !b.membership.settled() {
+	if b.set.Relays && within > 0 && !b.membership.settled() {
 		return 0
 	}
 	if b.group != nil {
--- a/internal/opfile/program.go
+++ b/internal/opfile/program.go
@@ -22,7 +22,8 @@
 	Keep          int // events that are kept after a snapshot, for directors that were away
 	Batch         int // changes in one transaction, at most; 1: each has its own
 	Copies        Copies
-	ClaimCopies   int // directors, beside the one that decides, that hold a claim
+	ClaimCopies   int  // directors, beside the one that decides, that hold a claim
+	Relays        bool // relays may have sessions with it
 }
 
 // Copies is the group that the board is a copy of. Self is empty where there is one board alone.
@@ -94,12 +95,13 @@
 type Program struct {
 	Board    Board
 	Director Director
+	Relay    Relay
 }
 
 // ReadProgram reads the program's file.
 func ReadProgram(name string, read ReadFile) (Program, sexpr.Faults) {
 	d := &decoder{}
-	p := Program{Board: Board{SnapshotEvery: 10_000, Keep: 10_000, Batch: 256, ClaimCopies: 2}, Director: Director{Cores: 1, Divide: "connection"}}
+	p := Program{Board: Board{SnapshotEvery: 10_000, Keep: 10_000, Batch: 256, ClaimCopies: 2}, Director: Director{Cores: 1, Divide: "connection"}, Relay: DefaultRelay()}
 	text, err := read(name)
 	if err != nil {
 		return p, sexpr.Faults{{File: name, Line: 1, Col: 1, Message: "can't be read: " + err.Error()}}
@@ -115,10 +117,11 @@
 		}
 	}
 	if len(items) == 0 && len(faults) == 0 {
-		d.fault(top, "", "nothing is set: (board ...) or (director ...) is wanted")
+		d.fault(top, "", "nothing is set: (board ...), (director ...) or (relay ...) is wanted")
 	}
 	d.forms(top, "", items, []form{
 		{name: "board", read: d.board(&p.Board, filepath.Dir(name))},
+		{name: "relay", read: d.relay(&p.Relay, filepath.Dir(name))},
 		{name: "director", read: func(n *sexpr.Node, args []*sexpr.Node, key string) {
 			d.forms(n, key+".", args, []form{
 				{name: "cores", read: d.integer(&p.Director.Cores, 1, 256)},
@@ -160,6 +163,7 @@
 			{name: "batch", read: d.integer(&b.Batch, 1, 1<<16)},
 			{name: "copies", read: d.copies(b)},
 			{name: "claim-copies", read: d.integer(&b.ClaimCopies, 1, 6)},
+			{name: "relays", read: d.flag(&b.Relays)},
 		})
 		if b.Copies.Self != "" && b.Write.Unix != "" {
 			d.fault(n, key+".write", "the other copies call the write side: with (copies ...) it is (tcp ADDRESS)")
