Work out each role's cost at 3,500 directors from measured laws

Cause: what a role costs at the operators' size was known of single parts alone, and by runs at other sizes.

Change: internal/capacity has the operators' size, laws (a line through five or more measured sizes, with residual and source) and the figures of director, relay, replica, leader, operator and failures with their budgets. internal/capacity/measure runs the program's own code at several sizes, by command, and writes docs/design/capacity-slopes.json.

--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,153 @@
+package capacity
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"os"
+	"reflect"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+)
+
+const root = "../../"
+
+func TestFit(t *testing.T) {
+	source := Source{Command: "c", At: time.Unix(1, 0)}
+	points := []Point{{1, 13}, {2, 15}, {3, 17}, {4, 19}, {5, 26}}
+	l, err := NewLaw("l", "", "x", Bytes, points, source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// By hand: the means are 3 and 18, the sum of products 30, that of squares 10; the last point is 2 over its line.
+	if l.Slope != 3 || math.Abs(l.Constant-9) > 1e-9 || math.Abs(l.Residual-2) > 1e-9 {
+		t.Errorf("constant %v, slope %v, residual %v", l.Constant, l.Slope, l.Residual)
+	}
+	if _, err := NewLaw("l", "", "x", Bytes, points[:4], source); !errors.Is(err, ErrPoints) {
+		t.Errorf("four points: %v", err)
+	}
+	if _, err := NewLaw("l", "", "x", Bytes, append(points[:4:4], points[0]), source); !errors.Is(err, ErrPoints) {
+		t.Errorf("four sizes: %v", err)
+	}
+}
+
+func TestReadRefusesWhatPointsDoNotGive(t *testing.T) {
+	law, err := NewLaw("l", "", "x", Bytes, []Point{{1, 3}, {2, 5}, {3, 7}, {4, 9}, {5, 11}}, Source{Command: "c", At: time.Unix(1, 0).UTC()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(*Law){
+		"as it is": func(*Law) {},
+		"slope":    func(l *Law) { l.Slope *= 0.99 },
+		"constant": func(l *Law) { l.Constant += 0.1 },
+		"residual": func(l *Law) { l.Residual = 1 },
+		"points":   func(l *Law) { l.Points = l.Points[:4] },
+		"source":   func(l *Law) { l.Source.Command = "" },
+		"unnamed":  func(l *Law) { l.Name = "" },
+	} {
+		changed := law
+		change(&changed)
+		var text bytes.Buffer
+		if err := (Laws{"l": changed}).Write(&text); err != nil {
+			t.Fatal(err)
+		}
+		again := bytes.NewReader(text.Bytes())
+		if _, err := Read(&text); (err == nil) != (name == "as it is") {
+			t.Errorf("%s: %v", name, err)
+		}
+		fitted, err := ReadPoints(again) // which takes anything but points and source from the points
+		if same := err == nil && reflect.DeepEqual(fitted["l"], law); same == (name == "points" || name == "source" || name == "unnamed") {
+			t.Errorf("%s, fitted anew: %+v, %v", name, fitted, err)
+		}
+	}
+}
+
+// Each verdict comes out, and a law that is read beyond its points is marked.
+func TestVerdicts(t *testing.T) {
+	law, err := NewLaw("process.director.cores", "", "director", Cores, []Point{{100, 0.01}, {200, 0.02}, {300, 0.03}, {400, 0.04}, {500, 0.05}},
+		Source{Command: "c", At: time.Unix(1, 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	find := func(size Size, laws Laws) Figure {
+		for _, f := range Table(size, Current(), laws) {
+			if f.Name == "processor time of control, whole process" {
+				return f
+			}
+		}
+		t.Fatal("the figure is not there")
+		return Figure{}
+	}
+	small, large := Operators(), Operators()
+	small.Directors, large.Directors = 250, 1000
+	if f := find(small, Laws{law.Name: law}); f.Verdict != Kept || f.Terms[0].Beyond != 0 {
+		t.Errorf("250 directors: %+v", f)
+	}
+	f := find(large, Laws{law.Name: law})
+	if f.Verdict != Broken || f.Terms[0].Beyond != 2 || math.Abs(f.Times()-0.1/0.039) > 1e-9 {
+		t.Errorf("1,000 directors: %+v", f)
+	}
+	if f := find(large, Laws{}); f.Verdict != NotMeasured || f.Value != 0 || len(BrokenFirst([]Figure{f})) != 0 {
+		t.Errorf("without a law: %+v", f)
+	}
+}
+
+// The design's values are those of the program's constants.
+func TestDesignIsTheProgram(t *testing.T) {
+	d := Current()
+	milliseconds := func(t time.Duration) string { return strconv.FormatInt(t.Milliseconds(), 10) }
+	for _, x := range []struct{ file, pattern, value string }{
+		{"internal/program/discovery.go", `watchPatienceMany = (\d+) \* time.Millisecond`, milliseconds(d.WatchPatience)},
+		{"internal/program/discovery.go", `watchRetryMany += (\d+) \* time.Millisecond`, milliseconds(d.ReconnectRetry)},
+		{"internal/program/discovery.go", `watchSpread = (\d+) \* time.Microsecond`, strconv.FormatInt(d.ReconnectSpread.Microseconds(), 10)},
+		{"internal/opfile/program.go", ` Keep: (\d+)_000`, strconv.Itoa(d.HistoryKept / 1000)},
+		{"internal/opfile/program.go", `c.Lease, .* = (\d+)\*time.Millisecond`, milliseconds(d.ReplicaLease)},
+		{"internal/controlplane/membership.go", `adoptionKept = (\d+)`, strconv.Itoa(d.AdoptionKept)},
+		{"internal/controlplane/membership.go", `rollEvery += (\d+) \* time.Millisecond`, milliseconds(d.TickEvery)},
+		{"internal/controlplane/membership.go", `rollGather += (\d+) \* time.Millisecond`, milliseconds(d.GatherEvery)},
+		{"internal/signals/tell.go", `evidenceEvery = (\d+) \* time.Millisecond`, milliseconds(d.HealthEvery)},
+		{"internal/signals/signals.go", `foundFor += (\d+) \* time.Millisecond`, milliseconds(d.HealthFoundEvery)},
+		{"internal/signals/signals.go", `foundEach = (\d+) \* time.Microsecond`, strconv.FormatInt(d.HealthFoundEach.Microseconds(), 10)},
+		{"internal/fleet/fleet.go", `PurgeKeepMS = (\d+) \* 60 \* 1000`, strconv.Itoa(int(d.PurgeKept.Minutes()))},
+		{"internal/protocol/bulletin/bulletin.go", `maxBody = (\d+) << 20`, strconv.Itoa(int(d.LargestAnswer) >> 20)},
+	} {
+		text, err := os.ReadFile(root + x.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := regexp.MustCompile(x.pattern).FindStringSubmatch(string(text))
+		if found == nil || found[1] != x.value {
+			t.Errorf("%s: %s is %v, the design has %s", x.file, x.pattern, found, x.value)
+		}
+	}
+}
+
+func TestSet(t *testing.T) {
+	size, design := Operators(), Current()
+	for _, err := range []error{size.Set("directors", "10"), size.Set("purge-within", "2s"), size.Set("purges-per-second", "0.5"), design.Set("relays", "4")} {
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	if size.Directors != 10 || size.PurgeWithin != 2*time.Second || size.PurgesPerSecond != 0.5 || design.Relays != 4 {
+		t.Errorf("%+v, %+v", size, design)
+	}
+	for _, x := range [][2]string{{"directors", "0"}, {"directors", "x"}, {"purge-within", "3"}, {"nothing", "1"}} {
+		if size.Set(x[0], x[1]) == nil {
+			t.Errorf("%v is taken", x)
+		}
+	}
+}
+
+func TestQuantity(t *testing.T) {
+	for want, got := range map[string]string{
+		"1.23 MB": quantity(1_234_567, Bytes), "9 kB/s": quantity(9000, BytesPerSecond), "0.039 cores": quantity(0.039, Cores),
+		"1.5 us": quantity(1.5e-6, Seconds), "5.3 s": quantity(5.3, Seconds), "-12 B": quantity(-12, Bytes), "0 B": quantity(0, Bytes),
+	} {
+		if got != want {
+			t.Errorf("%q, not %q", got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/measure/director.go
@@ -0,0 +1,277 @@
+package measure
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"sync"
+	"time"
+
+	"stairvane.org/stairvane/internal/capacity"
+	"stairvane.org/stairvane/internal/config"
+	"stairvane.org/stairvane/internal/program"
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+	"stairvane.org/stairvane/internal/quota"
+	"stairvane.org/stairvane/internal/routing"
+	"stairvane.org/stairvane/internal/signals"
+	"stairvane.org/stairvane/internal/transport"
+)
+
+var (
+	cacheSizes    = []int{90, 180, 360, 720, 1440}
+	directorSizes = []int{437, 875, 1750, 3500, 7000}
+	coldSizes     = []int{0, 2, 4, 8, 16}
+)
+
+func directorMeasures() []Measure {
+	return []Measure{
+		{Name: "director.memory.hosts", About: "heap of a director that knows so many caches (constant: the process with none)", XUnit: "cache",
+			Unit: capacity.Bytes, Sizes: cacheSizes, At: func(size int) (float64, error) { return programHeap(hostFeed(size)) }},
+		{Name: "director.memory.purges", About: "heap of a director that keeps so many purges", XUnit: "purge kept",
+			Unit: capacity.Bytes, Sizes: []int{200, 400, 800, 1600, 3200}, At: func(size int) (float64, error) { return programHeap(purgeFeed(size)) }},
+		{Name: "director.memory.membership", About: "heap of a director that knows so many directors", XUnit: "director",
+			Unit: capacity.Bytes, Sizes: directorSizes, At: func(size int) (float64, error) { return programHeap(memberFeed(size, 0)) }},
+		{Name: "director.time.host_change", About: "taking in the change of one cache in a list of so many", XUnit: "cache",
+			Unit: capacity.Seconds, Sizes: cacheSizes, At: hostChangeTime},
+		{Name: "director.time.membership_change", About: "taking in a director that joins among so many", XUnit: "director",
+			Unit: capacity.Seconds, Sizes: directorSizes, At: membershipChangeTime},
+		{Name: "director.time.watch_call", About: "writing a watch call with quotas of so many cold caches, and reading its answer", XUnit: "cold cache",
+			Unit: capacity.Seconds, Sizes: coldSizes, At: directorCallTime},
+		{Name: "director.bytes.call", About: "a watch call with quotas of so many cold caches", XUnit: "cold cache",
+			Unit: capacity.Bytes, Sizes: coldSizes, At: func(size int) (float64, error) { return float64(len(newCaller(size).call())), nil }},
+		{Name: "director.bytes.answer", About: "its answer with as many grants and no event", XUnit: "cold cache",
+			Unit: capacity.Bytes, Sizes: coldSizes, At: func(size int) (float64, error) { return float64(len(newCaller(size).answer())), nil }},
+		{Name: "director.bytes.report", About: "a health report on so many caches, in the call", XUnit: "cache reported",
+			Unit: capacity.Bytes, Sizes: []int{4, 8, 16, 24, 32}, At: reportBytes},
+	}
+}
+
+// hostFeed, purgeFeed and memberFeed are the bodies of answers.
+func hostFeed(caches int) []byte {
+	return encodeFeed(bulletin.Item{Number: 1, Roster: &bulletin.Roster{Sequence: 1, Whole: true, Hosts: wireHosts(caches)}})
+}
+
+func purgeFeed(purges int) []byte {
+	var items []bulletin.Item
+	now := float64(time.Now().UnixMilli())
+	for i := range purges {
+		items = append(items, bulletin.Item{Number: int64(i + 1), Recall: &bulletin.Recall{Item: objectName(i), IssuedMS: now}})
+	}
+	return encodeFeed(items...)
+}
+
+// memberFeed is the membership as a whole, and so many directors that join one by one afterwards.
+func memberFeed(directors, joining int) []byte {
+	items := []bulletin.Item{{Number: 1, Roster: &bulletin.Roster{Sequence: 1, Whole: true},
+		Roll: &bulletin.Roll{Whole: true, Joined: wireDirectors(directors)}}}
+	for i := range joining {
+		no := int64(i + 2)
+		joined := []bulletin.Director{bulletin.Director(directorOf(directors + i))}
+		items = append(items, bulletin.Item{Number: no, Roster: &bulletin.Roster{Sequence: no}, Roll: &bulletin.Roll{Joined: joined}})
+	}
+	return encodeFeed(items...)
+}
+
+func encodeFeed(items ...bulletin.Item) []byte {
+	body, err := json.Marshal(bulletin.Feed{Last: items[len(items)-1].Number, Items: items})
+	if err != nil {
+		panic(err) // texts and numbers
+	}
+	return body
+}
+
+// startProgram makes a director process that has taken in a feed, but serves nobody.
+func startProgram(feed bulletin.Feed) (*program.Program, error) {
+	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	nobody := netip.AddrPortFrom(loopback.Addr(), 1)
+	return program.New(config.Config{
+		Name: "director-0000", Listen: loopback, Bulletin: nobody, Seed: 1, MemoryMB: 192, Sockets: 1024,
+		Known: feed, Settings: settings(usualDirectors),
+		Roll: &config.Roll{Machine: "machine-0000", Site: "site-000", Incarnation: "QHTNMB5WJ6RZ3XKDVC2YFA0000", Version: "v1.18.0", Signals: true},
+	})
+}
+
+// stopProgram has a director leave, which takes it about a second.
+func stopProgram(p *program.Program) error {
+	p.Post(p.Leave)
+	return p.Run()
+}
+
+// programHeap is the heap of a director process that has taken in a body. What it was read from is not counted.
+func programHeap(body []byte) (float64, error) {
+	var p *program.Program
+	var err error
+	heap := heapOf(func() any {
+		var feed bulletin.Feed
+		if feed, err = bulletin.Decode(body); err != nil {
+			return nil
+		}
+		p, err = startProgram(feed)
+		clear(feed.Items) // the process keeps its configuration, with them
+		return p
+	})
+	runtime.KeepAlive(body)
+	if err != nil {
+		return 0, err
+	}
+	return heap, stopProgram(p)
+}
+
+// noDialer stands for caches that nobody dials.
+type noDialer struct{}
+
+func (noDialer) Dial(string, time.Duration, routing.LinkEvents) (routing.Link, error) {
+	return nil, fmt.Errorf("measure: no cache is dialled")
+}
+
+func hostChangeTime(caches int) (float64, error) {
+	loop, err := transport.NewLoop()
+	if err != nil {
+		return 0, err
+	}
+	defer loop.Release()
+	limits := routing.Limits{Streams: 32, LinksPerHost: 4, MaxAttempts: 6, LongestAnswer: 6 * time.Second, PurgeDone: 5300 * time.Millisecond}
+	director := routing.New(loop, settings(usualDirectors), 1, limits, noDialer{})
+	director.Start()
+	var all []routing.Member
+	for _, host := range wireHosts(caches) {
+		m := routing.Member{Name: host.Name, Address: host.Dial}
+		m.Zone, m.Kind, m.Cell, m.Readiness, m.Weight = host.Site, host.Class, host.Block, "IN", 1
+		all = append(all, m)
+	}
+	director.UpdateHosts(1, true, all)
+	return timeOf(func(n int) {
+		changed := all[n%caches]
+		changed.Weight = 1 - 0.5*float64(n%2)
+		director.UpdateHosts(int64(n+2), false, []routing.Member{changed})
+	}), nil
+}
+
+// membershipChangeTime is the difference between starts with and without changes after the membership as a whole.
+func membershipChangeTime(directors int) (float64, error) {
+	const joining = 200
+	without, err := startTime(memberFeed(directors, 0))
+	if err != nil {
+		return 0, err
+	}
+	with, err := startTime(memberFeed(directors, joining))
+	return (with - without) / joining, err
+}
+
+// startTime is the time in which a director process takes in a body at its start.
+func startTime(body []byte) (float64, error) {
+	feed, err := bulletin.Decode(body)
+	if err != nil {
+		return 0, err
+	}
+	var started []*program.Program
+	took := timeOnce(nil, func() {
+		p, fault := startProgram(feed)
+		if fault != nil {
+			err = fault
+			return
+		}
+		started = append(started, p)
+	})
+	var group sync.WaitGroup
+	faults := make([]error, len(started))
+	for i, p := range started {
+		group.Go(func() { faults[i] = stopProgram(p) })
+	}
+	group.Wait()
+	return took, errors.Join(append(faults, err)...)
+}
+
+// caller is a director's side of watch calls: what internal/program puts into each, and takes out of each answer.
+type caller struct {
+	own     bulletin.Director
+	holder  *quota.Holder
+	witness *signals.Witness
+	cold    []string
+	request []byte
+	now     time.Duration
+
+	sequence uint64 // of the last renewal
+}
+
+func newCaller(cold int) *caller {
+	own := bulletin.Director(directorOf(7))
+	return &caller{own: own, holder: quota.NewHolder(own.ID(), quotaSettings), witness: signals.NewWitness(signals.Usual, own.ID()),
+		cold: coldLimits(cold), now: time.Hour}
+}
+
+// call writes the next call.
+func (c *caller) call() []byte {
+	c.now += 100 * time.Millisecond
+	for _, name := range c.cold {
+		c.holder.Want(quota.Want{Limit: name, Kind: quota.Rate, Demand: 0.0123456789})
+	}
+	announcement := bulletin.Announcement{Director: c.own, Roll: 1234567, Config: "9c1185a5c5e9fc54"}
+	renewal := c.holder.Renewal(c.now)
+	c.sequence = renewal.Seq
+	announcement.Turns = mustJSON(renewal)
+	announcement.Signals = mustJSON(c.witness.Report(c.now))
+	c.request = bulletin.AppendRequest(c.request[:0], "10.1.2.3:7000", 12345678, 100, mustJSON(announcement))
+	return c.request
+}
+
+// answer is what an allocator with 3,500 holders like this one answers.
+func (c *caller) answer() []byte {
+	grant := quota.Grant{Holder: c.own.ID(), Epoch: 12, Seq: c.sequence, Fallback: 5.714285714285714e-05}
+	for _, name := range c.cold {
+		grant.Parts = append(grant.Parts, quota.Share{Limit: name, Part: 0.00022857142857142857})
+	}
+	body := append(bulletin.Opening(12345678), "],\"turns\":"...)
+	body = append(append(body, mustJSON(grant)...), '}')
+	return append(bulletin.AppendHead(nil, 200, len(body), false), body...)
+}
+
+// directorCallTime reads one answer again and again, as if it were that to the last call.
+func directorCallTime(cold int) (float64, error) {
+	c := newCaller(cold)
+	c.call()
+	answer := c.answer()
+	var fault error
+	took := timeOf(func(n int) {
+		c.call()
+		response, used, _, err := bulletin.ParseResponse(answer)
+		if err != nil || used == 0 {
+			fault = fmt.Errorf("answer: %d bytes used: %w", used, err)
+			return
+		}
+		feed, err := bulletin.Decode(response.Body)
+		var grant quota.Grant
+		if err == nil {
+			err = json.Unmarshal(feed.Turns, &grant)
+		}
+		if err != nil {
+			fault = err
+			return
+		}
+		grant.Seq = c.sequence
+		c.holder.Take(grant, c.now)
+	})
+	if cold > 0 && !c.holder.Granted(c.cold[0], c.now) {
+		fault = errors.New("the grant was not taken")
+	}
+	return took, fault
+}
+
+func reportBytes(caches int) (float64, error) {
+	witness := signals.NewWitness(signals.Usual, directorOf(7).ID())
+	empty := len(mustJSON(witness.Report(0)))
+	for i := range caches {
+		witness.Saw(cacheName(i), 23, 0, 0.0123)
+	}
+	return float64(len(mustJSON(witness.Report(time.Hour))) - empty), nil
+}
+
+func mustJSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // texts and numbers
+	}
+	return b
+}
--- /dev/null
+++ b/internal/capacity/measure/module.go
@@ -0,0 +1,130 @@
+package measure
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"time"
+
+	"stairvane.org/stairvane"
+	"stairvane.org/stairvane/internal/capacity"
+)
+
+func moduleMeasures() []Measure {
+	return []Measure{
+		{Name: "director.time.purge", About: "a purge in the decision module with so many requests open", XUnit: "open request",
+			Unit: capacity.Seconds, Sizes: []int{250, 500, 1000, 2000, 4000}, At: purgeTime},
+		{Name: "director.memory.open", About: "heap of the decision module with so many requests open", XUnit: "open request",
+			Unit: capacity.Bytes, Sizes: []int{250, 500, 1000, 2000, 4000}, At: openHeap},
+		{Name: "director.memory.served", About: "heap of the decision module that has served so many different objects, one after another", XUnit: "object served",
+			Unit: capacity.Bytes, Sizes: []int{10_000, 20_000, 40_000, 80_000, 160_000}, At: servedHeap},
+	}
+}
+
+// module is a decision module with the caches of one zone, two parents and an origin.
+type module struct {
+	router *stairvane.Router
+	now    time.Duration
+	sweep  time.Duration // when it asked to be woken next
+	asked  int           // requests so far
+}
+
+func newModule() *module {
+	m := &module{router: stairvane.NewRouter(settings(usualDirectors), 1), now: time.Hour}
+	m.take(m.router.Start(m.now))
+	list := []stairvane.Member{{Host: 900, Zone: "hub", Kind: "origin"}}
+	for i := range 2 {
+		list = append(list, stairvane.Member{Host: stairvane.HostID(500 + i), Zone: "hub", Kind: "parent"})
+	}
+	for i := range cachesOfZone {
+		list = append(list, stairvane.Member{Host: stairvane.HostID(100 + i), Zone: zoneName(0), Kind: "cache", Cell: i})
+	}
+	for i := range list {
+		list[i].Readiness, list[i].Weight = stairvane.Ready, 1
+	}
+	m.take(m.router.Handle(m.now, stairvane.Topology{Kind: stairvane.ListAll, Version: 1, Members: list}))
+	return m
+}
+
+// take notes the module's upkeep among actions, and gives the attempts.
+func (m *module) take(actions []stairvane.Action) (attempts []stairvane.Obtain) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case stairvane.After:
+			if a.Token == "sweep" {
+				m.sweep = m.now + a.Delay
+			}
+		case stairvane.Obtain:
+			attempts = append(attempts, a)
+		}
+	}
+	return attempts
+}
+
+// ask takes in a request for an object that nobody has asked for before.
+func (m *module) ask() []stairvane.Obtain {
+	m.asked++
+	return m.take(m.router.Handle(m.now, stairvane.Query{
+		Request: stairvane.RequestID(strconv.Itoa(m.asked)), Object: stairvane.ObjectID(0x9e3779b97f4a7c15 * uint64(m.asked)), Group: m.asked % 251,
+		Class: "clips", SizeKB: 200, TimeLeft: 6 * time.Second,
+	}))
+}
+
+// openMany leaves so many requests open, each with an attempt that is out.
+func openMany(count int) (*module, error) {
+	m := newModule()
+	attempts := 0
+	for range count {
+		attempts += len(m.ask())
+	}
+	if attempts != count {
+		return nil, fmt.Errorf("%d of %d requests have an attempt out", attempts, count)
+	}
+	return m, nil
+}
+
+func purgeTime(open int) (float64, error) {
+	m, err := openMany(open)
+	if err != nil {
+		return 0, err
+	}
+	return timeOf(func(n int) {
+		object := stairvane.ObjectID(0xd1b54a32d192ed03 * uint64(n%1000+1))
+		m.router.Handle(m.now, stairvane.Invalidated{Object: object})
+	}), nil
+}
+
+func openHeap(open int) (float64, error) {
+	var err error
+	heap := heapOf(func() any {
+		var m *module
+		m, err = openMany(open)
+		return m
+	})
+	return heap, err
+}
+
+// servedHeap serves one object after another, each for 1 ms of the module's time, with its upkeep.
+func servedHeap(objects int) (float64, error) {
+	var fault error
+	heap := heapOf(func() any {
+		m := newModule()
+		for range objects {
+			attempts := m.ask()
+			m.now += time.Millisecond
+			if len(attempts) != 1 {
+				fault = fmt.Errorf("%d attempts for one request", len(attempts))
+				return m
+			}
+			a := attempts[0]
+			m.take(m.router.Handle(m.now, stairvane.Answer{Request: a.Request, Terminal: true, Host: a.Host, Status: stairvane.OK,
+				Note: stairvane.NoteHit, Elapsed: time.Millisecond, FirstByte: time.Millisecond}))
+			if m.now >= m.sweep {
+				m.take(m.router.Handle(m.now, stairvane.Alarm{Token: "sweep"}))
+			}
+		}
+		runtime.GC()
+		return m
+	})
+	return heap, fault
+}
--- /dev/null
+++ b/internal/capacity/measure/wire.go
@@ -0,0 +1,103 @@
+package measure
+
+import (
+	"errors"
+	"fmt"
+
+	"stairvane.org/stairvane/internal/capacity"
+	"stairvane.org/stairvane/internal/controlplane/history"
+	"stairvane.org/stairvane/internal/fleet"
+)
+
+var eventSizes = []int{1, 10, 100, 1000, 3000}
+
+// keepAll is more events than any of these measures has.
+const keepAll = 1 << 20
+
+func wireMeasures() []Measure {
+	return []Measure{
+		{Name: "wire.bytes.purges", About: "the answer with so many purges", XUnit: "purge",
+			Unit: capacity.Bytes, Sizes: eventSizes, At: purgeBytes},
+		{Name: "wire.bytes.hosts", About: "the answer with so many changes of a cache each", XUnit: "host change",
+			Unit: capacity.Bytes, Sizes: eventSizes, At: hostBytes},
+		{Name: "wire.bytes.members", About: "the answer with so many directors that join in one event", XUnit: "director that joins",
+			Unit: capacity.Bytes, Sizes: eventSizes, At: func(size int) (float64, error) {
+				return eventBytes(fleet.RollChange{Joined: directorsOf(size)})
+			}},
+		{Name: "wire.bytes.gone", About: "the answer with so many directors that leave in one event", XUnit: "director that leaves",
+			Unit: capacity.Bytes, Sizes: eventSizes, At: goneBytes},
+		{Name: "wire.bytes.whole", About: "the first answer to a director: 720 caches, 256 slots of claims and so many directors", XUnit: "director",
+			Unit: capacity.Bytes, Sizes: directorSizes, At: func(size int) (float64, error) { return wholeBytes(usualCaches, size) }},
+		{Name: "wire.bytes.whole_caches", About: "the first answer to a director: so many caches, no director", XUnit: "cache",
+			Unit: capacity.Bytes, Sizes: cacheSizes, At: func(size int) (float64, error) { return wholeBytes(size, 0) }},
+	}
+}
+
+// logOf is a history that begins after a base of one event, which a watcher is taken to have.
+func logOf(events []fleet.Event) (*history.Log, error) {
+	after := fleet.Fleet{Revision: int64(1 + len(events))}
+	base := fleet.Event{No: 1, Rules: &fleet.Rules{}}
+	return history.New(1, append([]fleet.Event{base}, events...), after, keepAll)
+}
+
+// answerBytes is the size of the answer to a watcher that announces itself and has all events up to a number.
+func answerBytes(log *history.Log, after int64) (float64, error) {
+	_, size, err := log.Answer(after, true)
+	if err == nil && size == 0 {
+		err = errors.New("the answer is empty")
+	}
+	return float64(size), err
+}
+
+func purgeBytes(count int) (float64, error) {
+	var events []fleet.Event
+	for i := range count {
+		events = append(events, purgeEvent(int64(i+2), 1_790_000_000_000))
+	}
+	return answersOf(events)
+}
+
+func hostBytes(count int) (float64, error) {
+	var events []fleet.Event
+	for i := range count {
+		events = append(events, fleet.Event{No: int64(i + 2), AtMS: 1, Who: "operator@example", Member: memberOf(i % usualCaches)})
+	}
+	return answersOf(events)
+}
+
+func goneBytes(count int) (float64, error) {
+	var gone []string
+	for _, d := range directorsOf(count) {
+		gone = append(gone, d.ID())
+	}
+	return eventBytes(fleet.RollChange{Gone: gone})
+}
+
+func eventBytes(change fleet.RollChange) (float64, error) {
+	return answersOf([]fleet.Event{{No: 2, AtMS: 1, Who: "leader", Roll: &change}})
+}
+
+// answersOf is the bytes of the answers, one or several, that carry events.
+func answersOf(events []fleet.Event) (float64, error) {
+	log, err := logOf(events)
+	if err != nil {
+		return 0, err
+	}
+	size, err := answerBytes(log, 1)
+	if err == nil && size > history.MaxAnswer+1000 && len(events) > 1 {
+		err = fmt.Errorf("%d events take more than one answer", len(events))
+	}
+	return size, err
+}
+
+func wholeBytes(caches, directors int) (float64, error) {
+	f, err := fleetOf(caches, directors)
+	if err != nil {
+		return 0, err
+	}
+	log, err := history.New(f.Revision+1, nil, f, keepAll)
+	if err != nil {
+		return 0, err
+	}
+	return answerBytes(log, 0)
+}
