Show the cost of each role with its budget: stairvane capacity, docs/CAPACITY.md

Cause: nobody could see which budgets hold at the operators' size, by which mechanism, and what is not measured.

Change: stairvane capacity prints the figures, at other sizes and layouts too, fits further laws (--add) and writes the page's tables (--write). docs/CAPACITY.md has them with text for each role, for failures, and what is missing in the order in which budgets are broken. A test holds the page to the file of laws, and each figure to laws with points, to named missing laws or to constants.

--- /dev/null
+++ b/cmd/stairvane-fleet/capacity_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"stairvane.org/stairvane/internal/capacity"
+)
+
+const slopes = "--slopes=../../docs/design/capacity-slopes.json"
+
+// Sizes and layouts that are asked for come out in the figures, and what nothing is called is refused.
+func TestCapacity(t *testing.T) {
+	run := func(args ...string) (out string, status int) {
+		var text, faults bytes.Buffer
+		status = runCommand(append([]string{"capacity", slopes}, args...), &text, &faults)
+		return text.String() + faults.String(), status
+	}
+	out, status := run("-o", "json", "--size", "directors=1000", "--design", "relays=11;replicas=5")
+	var report capacityReport
+	if err := json.Unmarshal([]byte(out), &report); err != nil || status != exitDone {
+		t.Fatalf("status %d, %v: %.200s", status, err, out)
+	}
+	machines := report.Figures[0]
+	for _, f := range report.Figures {
+		if f.Name == "machines of control" {
+			machines = f
+		}
+	}
+	if report.Size.Directors != 1000 || machines.Value != 16 || machines.Verdict != capacity.Broken {
+		t.Errorf("%+v, %+v", report.Size, machines)
+	}
+	if out, status := run(); status != exitDone || !strings.Contains(out, "quota renewals with 8 limits") {
+		t.Errorf("status %d: %.200s", status, out)
+	}
+	if out, status := run("--size", "boats=3"); status != exitFailed || !strings.Contains(out, "boats") {
+		t.Errorf("status %d: %.200s", status, out)
+	}
+}
+
+// A law of whole processes that is added makes its figure measured, and is kept with the others.
+func TestCapacityAddsLaws(t *testing.T) {
+	folder := t.TempDir()
+	laws, more := filepath.Join(folder, "laws.json"), filepath.Join(folder, "more.json")
+	text, err := os.ReadFile("../../docs/design/capacity-slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	points := `{"laws":[{"name":"process.director.cores","about":"a","x_unit":"director","unit":"cores","points":[{"x":1,"y":2},{"x":2,"y":4},
+		{"x":3,"y":6},{"x":4,"y":8},{"x":5,"y":10}],"source":{"command":"stairvane scale","at":"2026-12-02T05:00:00Z","machine":"m"}}]}`
+	if err := errors.Join(os.WriteFile(laws, text, 0o600), os.WriteFile(more, []byte(points), 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if status := runCommand([]string{"capacity", "--slopes", laws, "--add", more}, &out, &out); status != exitDone || out.Len() > 0 {
+		t.Fatalf("status %d: %s", status, out.String())
+	}
+	if status := runCommand([]string{"capacity", "--slopes", laws, "-o", "json", "--size", "directors=10"}, &out, &out); status != exitDone {
+		t.Fatalf("status %d: %s", status, out.String())
+	}
+	var report capacityReport
+	if err := json.Unmarshal(out.Bytes(), &report); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range report.Figures {
+		if f.Name == "processor time of control, whole process" && f.Role == capacity.Director {
+			if math.Abs(f.Value-20) > 1e-9 || f.Verdict != capacity.Broken || f.Terms[0].Beyond != 2 {
+				t.Errorf("%+v", f)
+			}
+			return
+		}
+	}
+	t.Error("the figure is not there")
+}
+
+// --write fills a page whose tables are empty as the committed page is filled.
+func TestCapacityWritesThePage(t *testing.T) {
+	want, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var empty strings.Builder
+	inside := false
+	for line := range strings.Lines(string(want)) {
+		if inside = inside && !strings.HasPrefix(line, "<!-- capacity end"); !inside {
+			empty.WriteString(line)
+		}
+		inside = inside || strings.HasPrefix(line, "<!-- capacity: ")
+	}
+	path := filepath.Join(t.TempDir(), "page.md")
+	if err := os.WriteFile(path, []byte(empty.String()), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if status := runCommand([]string{"capacity", slopes, "--write", path}, &out, &out); status != exitDone {
+		t.Fatalf("status %d: %s", status, out.String())
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if empty.Len() >= len(want) || !bytes.Equal(got, want) {
+		t.Errorf("%d bytes from %d, not the page's %d", len(got), empty.Len(), len(want))
+	}
+}
--- a/cmd/stairvane-fleet/cli.go
+++ b/cmd/stairvane-fleet/cli.go
@@ -34,6 +34,7 @@
 	Model    modelCmd    `cmd:"" help:"Play a fleet that shares cold boxes by turns, in a model. Ends with 1 if a limit is passed."`
 	Signals  signalsCmd  `cmd:"" help:"Show what directors together see of boxes, and by whose evidence."`
 	Turns    turnsCmd    `cmd:"" help:"Show who holds what part of what directors share, and until when."`
+	Capacity capacityCmd `cmd:"" help:"Work out what each role costs at a size, from measured laws."`
 	Version  versionCmd  `cmd:"" help:"Tell which program this is."`
 	Standin  standinCmd  `cmd:"" help:"Stand-ins for a quick start on one machine."`
 
