Let the tests of nodes share one fake tree

Change: the tree has a mode in which messages come at once, and the forced tests use it. What they demand is the same, but for the share that sinks: it is held against all that a root counts that never gets an acknowledgement. The random test draws the same numbers.

--- a/internal/quota/tree_test.go
+++ b/internal/quota/tree_test.go
@@ -34,6 +34,7 @@
 	leaves  []*process
 	net     []message
 	started int     // processes, for their names
+	perfect bool    // messages come at once
 	hard    bool    // most messages are late or lost, and demands change all the time
 	worst   float64 // of what shares, or fallbacks, may be: how much of it those that are in force come to
 	used    float64 // sum over the steps, of what is in use
@@ -83,6 +84,12 @@
 // send has a message on its way: one in 20 is lost, one in 20 comes twice, one in ten takes up to 320 ms; more
 // where it is hard.
 func (t *tree) send(from, to *process, deliver func()) {
+	if t.perfect {
+		if t.now >= from.cut && t.now >= to.cut {
+			deliver()
+		}
+		return
+	}
 	copies := 1
 	switch t.rng.IntN(20) {
 	case 0:
@@ -120,12 +127,20 @@
 	})
 }
 
-func (t *tree) renewLeaf(p *process) {
+func (t *tree) renewNode(p *process) {
+	t.renewRoot(p, p.node.Renewal(t.clock(p)), func(g Grant) { p.node.Take(g, t.clock(p)) })
+}
+
+func (t *tree) renewal(p *process) Renewal {
 	p.leaf.Want(Want{Limit: "box", Kind: Rate, Demand: p.demand})
-	if t.rng.IntN(30) == 0 { // it gives up what it has, and wants it again with the next renewal
+	if !t.perfect && t.rng.IntN(30) == 0 { // it gives up what it has, and wants it again with the next renewal
 		p.leaf.Want(Want{Limit: "box", Kind: Rate})
 	}
-	r := p.leaf.Renewal(t.clock(p))
+	return p.leaf.Renewal(t.clock(p))
+}
+
+func (t *tree) renewLeaf(p *process) {
+	r := t.renewal(p)
 	take := func(g Grant) { p.leaf.Take(g, t.clock(p)) }
 	if p.parent == len(t.nodes) {
 		t.renewRoot(p, r, take)
@@ -185,7 +200,7 @@
 	}
 	for _, p := range t.nodes {
 		if t.now >= p.paused && t.rng.IntN(5) == 0 {
-			t.renewRoot(p, p.node.Renewal(t.clock(p)), func(g Grant) { p.node.Take(g, t.clock(p)) })
+			t.renewNode(p)
 		}
 	}
 	net := t.net
@@ -200,13 +215,25 @@
 	t.look()
 }
 
+// inForce sums up shares and fallbacks.
+func (t *tree) inForce(leaves ...*process) (shares, fallbacks float64) {
+	for _, p := range leaves {
+		now := t.clock(p)
+		if p.leaf.Granted("box", now) {
+			shares += p.leaf.Part("box", now)
+		}
+		fallbacks += p.leaf.fallback * max(0, 1-float64(now-p.leaf.takenFrom)/float64(treeSet().Fades))
+	}
+	return shares, fallbacks
+}
+
 // look sums up what is in force. Shares and fallbacks each keep what is set aside for them, so that both keep the limit.
 func (t *tree) look() {
-	shares, fallbacks, wanted, set := 0.0, 0.0, 0.0, treeSet()
+	wanted, set := 0.0, treeSet()
 	for _, p := range t.leaves {
-		share, fallback := inForce([]*Holder{p.leaf}, t.clock(p))
-		shares, fallbacks, wanted = shares+share, fallbacks+fallback, wanted+p.demand
+		wanted += p.demand
 	}
+	shares, fallbacks := t.inForce(t.leaves...)
 	t.worst = max(t.worst, shares/(1-set.Reserve), fallbacks/set.Reserve)
 	t.used += min(shares, wanted)
 	t.wanted += min(1-set.Reserve, wanted)
