Let the scale run's control plane accept its relays

Cause: the control plane takes relays only with (relays) in its file; the scale run was written before that form and its first run with relays was refused at once. Change: the run's replicas have the form where relays are asked for.

--- a/internal/scale/cluster.go
+++ b/internal/scale/cluster.go
@@ -77,6 +77,7 @@
 	if c.group, err = rig.NewBoards(c.set.Program, c.folder, c.set.Replicas, 0); err != nil {
 		return err
 	}
+	c.group.Relays = c.set.Relays > 0
 	c.group.Every = snapshotEvery
 	if err := c.group.Found(startWithin); err != nil {
 		return err
