Part the long functions of the relay and the watch server

Change: no behaviour; newSession, drain and complete are functions of their own.

Measured: go test -race of both packages and go test ./internal/controlplane (15 s) pass.

--- a/internal/controlplane/relay/owner.go
+++ b/internal/controlplane/relay/owner.go
@@ -35,7 +35,7 @@
 	return o.relay.session.Opinions(directorID, replicas.Now())
 }
 
-// AcknowledgedChanged implements watch.Owner. The leader is told with the next request.
+// AcknowledgedChanged implements watch.Owner. The next request says it to the leader.
 func (o owner) AcknowledgedChanged() {}
 
 // ClockMS implements watch.Owner.
--- a/internal/controlplane/relay/relay.go
+++ b/internal/controlplane/relay/relay.go
@@ -70,6 +70,13 @@
 		r.loop.Release()
 		return nil, err
 	}
+	r.session = newSession(set)
+	r.look.Fire = r.checkLease
+	return r, nil
+}
+
+// newSession makes the session of a process that has just begun.
+func newSession(set opfile.Relay) *relay.Session {
 	identity := membership.Relay{
 		Name:        set.Name,
 		Incarnation: rand.Text(),
@@ -77,14 +84,12 @@
 		Site:        set.Site,
 		Region:      set.Region,
 	}
-	r.session = relay.New(relay.Settings{
+	return relay.New(relay.Settings{
 		Relay:         identity,
 		Number:        randomNumber(),
 		DirectorLease: directorLease,
 		Drift:         clockDrift,
 	}, newQuota(identity.ID()))
-	r.look.Fire = r.checkLease
-	return r, nil
 }
 
 func randomNumber() uint64 {
@@ -119,15 +124,14 @@
 
 // Leave takes no new watchers, closes those that there are over the file's leave-over, and ends Run.
 func (r *Server) Leave() {
-	r.leaving.Do(func() {
-		r.loop.Post(func() {
-			slog.Info("relay.leaves", "name", r.set.Name, "directors", r.session.Len())
-			r.watches.Drain(r.set.LeaveOver, func() {
-				r.linger.Fire = r.loop.Stop // what the last directors said is still to reach the leader
-				r.loop.Set(&r.linger, r.loop.Now()+lingerTime)
-			})
-		})
-	})
+	r.leaving.Do(func() { r.loop.Post(r.drain) })
+}
+
+// drain closes all watchers, gives what the last directors said the time to reach the leader, and stops the loop.
+func (r *Server) drain() {
+	slog.Info("relay.leaves", "name", r.set.Name, "directors", r.session.Len())
+	r.linger.Fire = r.loop.Stop
+	r.watches.Drain(r.set.LeaveOver, func() { r.loop.Set(&r.linger, r.loop.Now()+lingerTime) })
 }
 
 // Stop ends Run at once.
--- a/internal/controlplane/relay/upstream.go
+++ b/internal/controlplane/relay/upstream.go
@@ -35,7 +35,7 @@
 	names  []string // addresses
 	at     int      // the one that is called next
 	leads  bool     // that one answered the last call
-	hurrys chan struct{}
+	urgent chan struct{}
 }
 
 func newUpstream(set opfile.Relay) (*upstream, error) {
@@ -46,7 +46,7 @@
 		ResponseHeaderTimeout: headTimeout,
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
-	u := &upstream{http: &http.Client{Transport: t}, scheme: "http", hurrys: make(chan struct{}, 1)}
+	u := &upstream{http: &http.Client{Transport: t}, scheme: "http", urgent: make(chan struct{}, 1)}
 	for _, address := range set.Upstream {
 		u.names = append(u.names, address.String())
 	}
@@ -62,7 +62,7 @@
 // hurry has the next request made soon. It never blocks, and may be called from any goroutine.
 func (u *upstream) hurry() {
 	select {
-	case u.hurrys <- struct{}{}:
+	case u.urgent <- struct{}{}:
 	default:
 	}
 }
@@ -145,7 +145,7 @@
 		if err != nil {
 			failures++
 			logFailure(r.set.Name, failures, len(r.upstream.names), err)
-			if failures%len(r.upstream.names) == 0 && !r.pause(retryInterval, false) {
+			if failures%len(r.upstream.names) == 0 && !r.pause(retryInterval, nil) {
 				return
 			}
 			if ctx.Err() != nil {
@@ -157,7 +157,7 @@
 		if again {
 			r.upstream.hurry()
 		}
-		if !r.pause(hurryInterval-time.Since(began), false) || !r.pause(renewInterval-time.Since(began), true) {
+		if !r.pause(hurryInterval-time.Since(began), nil) || !r.pause(renewInterval-time.Since(began), r.upstream.urgent) {
 			return
 		}
 	}
@@ -170,18 +170,14 @@
 	}
 }
 
-// pause waits for a time, or until a request is urgent where it may be. It is false once the loop has ended.
-func (r *Server) pause(length time.Duration, urgent bool) bool {
+// pause waits for a time, or until a request is urgent if it is given that channel. It is false once the loop has ended.
+func (r *Server) pause(length time.Duration, urgent <-chan struct{}) bool {
 	timer := time.NewTimer(max(0, length))
 	defer timer.Stop()
-	hurrys := r.upstream.hurrys
-	if !urgent {
-		hurrys = nil
-	}
 	select {
 	case <-r.ended:
 		return false
-	case <-hurrys:
+	case <-urgent:
 	case <-timer.C:
 	}
 	return true
--- a/internal/controlplane/watch/watcher.go
+++ b/internal/controlplane/watch/watcher.go
@@ -95,7 +95,7 @@
 }
 
 // personal is what ends the answer to a director that shares in quotas, or in what is seen of caches; nil if there is nothing.
-// It tells whether there are opinions in it.
+// opinions: there are some in it.
 func (c *watcher) personal() (out []byte, opinions bool) {
 	if c.call.Announce == nil {
 		return nil, false
@@ -178,6 +178,26 @@
 	}
 }
 
+// complete makes an answer of what is new, nil if nothing is, with what is for this director alone. It notes when something new
+// was answered.
+func (c *watcher) complete(parts [][]byte, size int) ([][]byte, int) {
+	s := c.server
+	personal, opinions := c.personal()
+	if parts != nil || opinions {
+		c.ready = s.loop.Now() + s.set.Gather
+	}
+	if parts == nil {
+		empty := append(bulletin.Opening(max(s.log.Last(), 0)), bulletin.Closing...)
+		parts, size = [][]byte{empty}, len(empty)
+	}
+	if personal == nil {
+		return parts, size
+	}
+	last := parts[len(parts)-1] // it ends the answer
+	parts = append(append([][]byte(nil), parts[:len(parts)-1]...), last[:len(last)-1], personal)
+	return parts, size + len(personal) - 1
+}
+
 // answer ends the wait with what is new, if anything is.
 func (c *watcher) answer() {
 	s := c.server
@@ -195,20 +215,7 @@
 		c.close()
 		return
 	}
-	changed := parts != nil
-	if !changed {
-		empty := append(bulletin.Opening(max(s.log.Last(), 0)), bulletin.Closing...)
-		parts, size = [][]byte{empty}, len(empty)
-	}
-	personal, opinions := c.personal()
-	if changed || opinions {
-		c.ready = s.loop.Now() + s.set.Gather
-	}
-	if personal != nil { // the last part ends the answer
-		last := parts[len(parts)-1]
-		parts = append(append([][]byte(nil), parts[:len(parts)-1]...), last[:len(last)-1], personal)
-		size += len(personal) - 1
-	}
+	parts, size = c.complete(parts, size)
 	c.waiting = false
 	s.head = bulletin.AppendHead(s.head[:0], 200, size, c.call.Close)
 	c.conn.Write(append([][]byte{s.head}, parts...)...)
