Answer a refused watcher once its call has come, not before

Line at fault: refuse in admit. Change: a caller that is not admitted has its first call answered with the refusal; without a call the connection ends after 2 s, as before.

--- a/internal/controlplane/watch/server.go
+++ b/internal/controlplane/watch/server.go
@@ -108,7 +108,7 @@
 		slog.Warn("follower.turned_away", "followers", len(s.watchers))
 	}
 	if status != 0 {
-		c.refuse(status)
+		c.refuseCall(status)
 		return
 	}
 	s.ids++
--- a/internal/controlplane/watch/watch_test.go
+++ b/internal/controlplane/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -237,3 +238,34 @@
 		t.Error("a server that drains takes connections")
 	}
 }
+
+// A caller that is not admitted is answered once its call is whole, not before: an HTTP client that is answered before it has
+// asked takes the connection for broken.
+func TestARefusalAnswersACall(t *testing.T) {
+	p := serve(t, Settings{})
+	p.lost.Store(true)
+	addr, err := p.server.Addr()
+	check(t, err)
+	early, err := net.Dial("tcp", addr.String())
+	check(t, err)
+	defer early.Close()
+	_, err = early.Write([]byte("GET /bulletins?after=0 HT"))
+	check(t, err)
+	later, err := watchtest.Dial(addr, "later", patience) // its answer shows that the server has read what came before
+	check(t, err)
+	defer later.Close()
+	if status, _, err := later.Poll(0); status != 503 || err != nil {
+		t.Errorf("%d, %v", status, err)
+	}
+	check(t, early.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	if n, err := early.Read(make([]byte, 1)); n > 0 || !os.IsTimeout(err) {
+		t.Errorf("%d bytes before the call, %v", n, err)
+	}
+	check(t, early.SetDeadline(time.Now().Add(patience)))
+	_, err = early.Write([]byte("TP/1.1\r\n\r\n"))
+	check(t, err)
+	answer := make([]byte, 12)
+	if _, err = io.ReadFull(early, answer); string(answer) != "HTTP/1.1 503" {
+		t.Errorf("%q, %v", answer, err)
+	}
+}
--- a/internal/controlplane/watch/watcher.go
+++ b/internal/controlplane/watch/watcher.go
@@ -21,6 +21,7 @@
 	call    bulletin.Call
 	waiting bool
 	ended   bool
+	refusal int             // status that answers the first call; 0: the caller is admitted
 	timer   transport.Timer // ends the wait, or a connection on which no call comes
 	until   time.Duration   // when the wait ends at the latest, by the loop's clock
 	ready   time.Duration   // when something new may be answered again
@@ -72,6 +73,9 @@
 
 // Data implements transport.Handler.
 func (c *watcher) Data(b []byte) (used, need int, err error) {
+	if c.refusal != 0 {
+		return c.readRefused(b)
+	}
 	if c.ended {
 		return len(b), 0, nil
 	}
@@ -126,6 +130,27 @@
 	return c.call.Announce != nil && c.call.Announce.Roll == 0 && c.server.log.HasRoll()
 }
 
+// refuseCall has the first call of a caller that is not admitted answered with an error. An answer before the call would meet
+// a client that has sent nothing: HTTP clients take that for a broken connection.
+func (c *watcher) refuseCall(status int) {
+	c.ended = true
+	c.refusal = status
+	c.timer.Fire = c.conn.Close // if no call comes
+	c.server.loop.Set(&c.timer, c.server.loop.Now()+refusalTimeout)
+}
+
+// readRefused reads the call of a caller that is not admitted, and answers it.
+func (c *watcher) readRefused(b []byte) (used, need int, err error) {
+	_, used, need, err = bulletin.ParseCall(b)
+	if err == nil && used == 0 {
+		return 0, need, nil
+	}
+	status := c.refusal
+	c.refusal = 0
+	c.refuse(status)
+	return len(b), 0, nil
+}
+
 // refuse answers with an error and ends the connection once that is taken.
 func (c *watcher) refuse(status int) {
 	c.ended = true
