--- /dev/null
+++ b/internal/scale/hollow/answers.go
@@ -0,0 +1,62 @@
+package hollow
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"stairvane.org/stairvane/internal/protocol/bulletin"
+)
+
+// maxDecoded bounds the decoded answers that are kept.
+const maxDecoded = 256
+
+// personalPart begins what an answer has for one director alone: its grant. All before it is the same for all that ask alike.
+var personalPart = []byte(`],"turns":`)
+
+// answers decodes the answers to the directors of a process. On machines of their own each would decode its own; here the part
+// that many are sent alike is decoded once.
+type answers struct {
+	decoded map[uint64]bulletin.Feed
+}
+
+func newAnswers() answers { return answers{decoded: map[uint64]bulletin.Feed{}} }
+
+// decode decodes the body of an answer. The items must not be changed. An event that can't be read is an error.
+func (a *answers) decode(body []byte) (bulletin.Feed, error) {
+	shared, grant := body, []byte(nil)
+	if at := bytes.LastIndex(body, personalPart); at >= 0 {
+		shared = body[:at+1]
+		grant = body[at+len(personalPart) : len(body)-1]
+	}
+	feed, err := a.decodeShared(shared, len(grant) > 0)
+	if len(grant) > 0 {
+		feed.Turns = json.RawMessage(grant)
+	}
+	return feed, err
+}
+
+// decodeShared decodes the shared part; cut tells that the closing brace is missing.
+func (a *answers) decodeShared(shared []byte, cut bool) (bulletin.Feed, error) {
+	key := xxhash.Sum64(shared)
+	if feed, known := a.decoded[key]; known {
+		return feed, nil
+	}
+	whole := shared
+	if cut {
+		whole = append(bytes.Clone(shared), '}')
+	}
+	feed, err := bulletin.Decode(whole)
+	if err != nil {
+		return feed, err
+	}
+	if len(feed.Faults) > 0 {
+		return feed, feed.Faults[0]
+	}
+	if len(a.decoded) >= maxDecoded {
+		clear(a.decoded)
+	}
+	a.decoded[key] = feed
+	return feed, nil
+}
--- /dev/null
+++ b/internal/scale/hollow/answers_test.go
@@ -0,0 +1,27 @@
+package hollow
+
+import "testing"
+
+// An answer is decoded alike whether it has a grant or not, and whether its events were decoded before.
+func TestAnswersDecodeGrantsApartFromEvents(t *testing.T) {
+	a := newAnswers()
+	events := `{"no":7,"items":[{"no":7,"recall":{"item":"00000000000000a1","issued":5}}]`
+	for _, grant := range []string{"", `{"holder":"d1/x","seq":3}`, `{"holder":"d2/x","seq":4}`} {
+		body := events + "}"
+		if grant != "" {
+			body = events + `,"turns":` + grant + "}"
+		}
+		feed, err := a.decode([]byte(body))
+		if err != nil || feed.Last != 7 || len(feed.Items) != 1 || feed.Items[0].Recall == nil || string(feed.Turns) != grant {
+			t.Errorf("%s: %+v, %v", body, feed, err)
+		}
+	}
+	if len(a.decoded) != 2 { // with and without the closing brace
+		t.Errorf("%d kept", len(a.decoded))
+	}
+	for _, body := range []string{`{"no":7,"items":[`, `{"no":7,"items":[{"no":"x"}],"turns":{}}`} {
+		if _, err := a.decode([]byte(body)); err == nil {
+			t.Errorf("%s was decoded", body)
+		}
+	}
+}
--- a/internal/scale/hollow/director.go
+++ b/internal/scale/hollow/director.go
@@ -171,13 +171,10 @@
 	if response.Status != 200 {
 		return used, 0, fmt.Errorf("status %d", response.Status)
 	}
-	feed, err := bulletin.Decode(response.Body)
+	feed, err := d.process.answers.decode(response.Body)
 	if err != nil {
 		return used, 0, err
 	}
-	if len(feed.Faults) > 0 {
-		return used, 0, feed.Faults[0]
-	}
 	traffic.Answers++
 	now := Now()
 	d.silence = max(d.silence, d.silent(now))
--- a/internal/scale/hollow/process.go
+++ b/internal/scale/hollow/process.go
@@ -42,6 +42,7 @@
 type Process struct {
 	set       Settings
 	timing    program.WatchTiming
+	answers   answers
 	loop      *transport.Loop
 	directors []*director
 	count     counters
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{set: set, timing: program.TimingOfWatch(len(set.Addresses), true), loop: loop, count: newCounters(set, Now())}
+	p := &Process{set: set, timing: program.TimingOfWatch(len(set.Addresses), true), answers: newAnswers(), loop: loop, count: newCounters(set, Now())}
 	if p.control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		loop.Release()
 		return nil, err
