Name leases of the control plane's watches as the field does

Change: replica.Granter is Lessor, told is acknowledged, a session observes directors; opinions are aggregated health in the watch owner. No behaviour changes. Result: the tests of replica, relay, watch and the relay's process pass.

--- a/internal/controlplane/health.go
+++ b/internal/controlplane/health.go
@@ -23,7 +23,7 @@
 // spread answers the directors at once that wait here and share in what is seen of boxes, if that has changed.
 func (k *membershipService) spread(o signals.Opinions, now time.Duration) {
 	if k.health.teller.Take(o, now) {
-		k.board.loop.Post(k.board.watches.PublishOpinions)
+		k.board.loop.Post(k.board.watches.PublishHealth)
 	}
 }
 
@@ -43,8 +43,8 @@
 	}
 }
 
-// opinions are what a director that gives evidence is to be told now; nil if nothing is new.
-func (k *membershipService) opinions(id string) *signals.Opinions {
+// aggregatedHealth are what a director that gives evidence is to be told now; nil if nothing is new.
+func (k *membershipService) aggregatedHealth(id string) *signals.Opinions {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -77,8 +77,8 @@
 			Director: rollLease, Session: b.relayLease()})}
 }
 
-// heard takes in what a director says with its call for news.
-func (k *membershipService) heard(a bulletin.Announcement, acts int64) {
+// observe takes in what a director says with its call for news.
+func (k *membershipService) observe(a bulletin.Announcement, acts int64) {
 	now := replicas.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -109,8 +109,8 @@
 	}
 }
 
-// granted is the grant for a director, once.
-func (k *membershipService) granted(id string) *quota.Grant {
+// takeGrant is the grant for a director, once.
+func (k *membershipService) takeGrant(id string) *quota.Grant {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	g, is := k.grants[id]
--- a/internal/controlplane/relay/owner.go
+++ b/internal/controlplane/relay/owner.go
@@ -18,7 +18,7 @@
 // Request implements watch.Owner.
 func (o owner) Request(a bulletin.Announcement, acknowledged int64) bool {
 	r := o.relay
-	if !r.session.Heard(a, acknowledged, replicas.Now()) {
+	if !r.session.Observe(a, acknowledged, replicas.Now()) {
 		return false
 	}
 	if r.session.Pending() {
@@ -30,9 +30,9 @@
 // Granted implements watch.Owner.
 func (o owner) Granted(directorID string) *quota.Grant { return o.relay.session.Granted(directorID) }
 
-// Opinions implements watch.Owner.
-func (o owner) Opinions(directorID string) *signals.Opinions {
-	return o.relay.session.Opinions(directorID, replicas.Now())
+// Health implements watch.Owner.
+func (o owner) Health(directorID string) *signals.Opinions {
+	return o.relay.session.Health(directorID, replicas.Now())
 }
 
 // AcknowledgedChanged implements watch.Owner. The next request says it to the leader.
--- a/internal/controlplane/relay/relay.go
+++ b/internal/controlplane/relay/relay.go
@@ -166,7 +166,7 @@
 	}
 	now := replicas.Now()
 	if r.session.Answered(a, now) {
-		defer r.watches.PublishOpinions()
+		defer r.watches.PublishHealth()
 	}
 	if a.LeaseMS > 0 {
 		length := min(relay.Lease, time.Duration(a.LeaseMS)*time.Millisecond)
--- a/internal/controlplane/relays.go
+++ b/internal/controlplane/relays.go
@@ -39,11 +39,11 @@
 	board *Server
 
 	mu    sync.Mutex
-	alone *replica.Granter // of a control plane without a group
+	alone *replica.Lessor // of a control plane without a group
 }
 
 func newRelayLeases(b *Server) *relayLeases {
-	alone := replica.NewGranter(replica.Lease{Length: b.relayLease(), Drift: rollDrift})
+	alone := replica.NewLessor(replica.Lease{Length: b.relayLease(), Drift: rollDrift})
 	alone.Lead(true, replicas.Now())
 	return &relayLeases{board: b, alone: alone}
 }
@@ -72,7 +72,7 @@
 	}
 	b.relays.mu.Lock()
 	defer b.relays.mu.Unlock()
-	return b.relays.alone.Told(own, replicas.Now(), within)
+	return b.relays.alone.Acknowledged(own, replicas.Now(), within)
 }
 
 // settled tells whether all leases are over that a leader before this one may have given.
--- a/internal/controlplane/relays_test.go
+++ b/internal/controlplane/relays_test.go
@@ -57,7 +57,7 @@
 		if !behind {
 			acknowledged = r.revision
 		}
-		r.session.Heard(d, acknowledged, now)
+		r.session.Observe(d, acknowledged, now)
 	}
 	r.last = r.session.Request(r.revision, r.revision, now)
 	body, err := json.Marshal(r.last)
@@ -220,7 +220,7 @@
 				b.StopTimer()
 				now := replicas.Now()
 				for _, d := range r.directors {
-					r.session.Heard(d, r.revision, now)
+					r.session.Observe(d, r.revision, now)
 				}
 				q := r.session.Request(r.revision, r.revision, now)
 				body, err := json.Marshal(q)
--- a/internal/controlplane/replicas/group.go
+++ b/internal/controlplane/replicas/group.go
@@ -83,7 +83,7 @@
 	mu      sync.Mutex // of the witness and both sides of leases
 	witness *replica.Witness
 	holder  replica.Holder
-	granter *replica.Granter
+	granter *replica.Lessor
 
 	// What follows is the loop's.
 	driver    *replica.Driver
@@ -135,7 +135,7 @@
 func New(s *store.Store, set Settings) (*Group, error) {
 	lease := replica.Lease{Length: set.Lease, Drift: set.Drift}
 	g := &Group{set: set, store: s, run: random64(), inbox: make(chan func(), 1024), stop: make(chan struct{}), ended: make(chan struct{}),
-		links: map[string]*peer{}, witness: replica.NewWitness(), granter: replica.NewGranter(lease), phase: Meeting, seeds: random64(),
+		links: map[string]*peer{}, witness: replica.NewWitness(), granter: replica.NewLessor(lease), phase: Meeting, seeds: random64(),
 		barriers: map[uint64][]func(error){}, contacts: replica.NewContacts(set.Tick), names: map[uint64]string{}, asks: map[string]uint64{}, met: map[string]bool{},
 		sending: map[uint64]bool{}, sentWhole: map[uint64]time.Duration{}, flush: time.NewTimer(time.Hour)}
 	if g.set.Scheme == "" {
@@ -673,7 +673,7 @@
 	within := g.set.Within()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.granter.Told(own, Now(), within)
+	return g.granter.Acknowledged(own, Now(), within)
 }
 
 // Leads tells whether this copy leads, as far as it knows.
--- a/internal/controlplane/replicas/relays_test.go
+++ b/internal/controlplane/replicas/relays_test.go
@@ -34,7 +34,7 @@
 func (r *relayOfGroup) call(directors int) bool {
 	now := replicas.Now()
 	for i := range directors {
-		r.session.Heard(bulletin.Announcement{Director: bulletin.Director{Name: fmt.Sprint("d-", i), Incarnation: "1"}}, r.revision, now)
+		r.session.Observe(bulletin.Announcement{Director: bulletin.Director{Name: fmt.Sprint("d-", i), Incarnation: "1"}}, r.revision, now)
 	}
 	body, err := json.Marshal(r.session.Request(r.revision, r.revision, now))
 	check(r.t, err)
--- a/internal/controlplane/replicas/serve.go
+++ b/internal/controlplane/replicas/serve.go
@@ -79,7 +79,7 @@
 			}
 		}
 		if lease, held := leases[disk]; held {
-			c.Told, c.LeaseMS = lease.Told, lease.Left.Milliseconds()
+			c.Told, c.LeaseMS = lease.Acknowledged, lease.Left.Milliseconds()
 		}
 		s.List = append(s.List, c)
 	}
--- a/internal/controlplane/watch/server.go
+++ b/internal/controlplane/watch/server.go
@@ -36,8 +36,8 @@
 	Request(announcement bulletin.Announcement, acknowledged int64) bool
 	// Granted is the grant for a director, once; nil if there is none.
 	Granted(directorID string) *quota.Grant
-	// Opinions are those on caches that a director is to be sent now; nil if nothing is new to it.
-	Opinions(directorID string) *signals.Opinions
+	// Health are those on caches that a director is to be sent now; nil if nothing is new to it.
+	Health(directorID string) *signals.Opinions
 	// AcknowledgedChanged tells that Acknowledged may have risen. It must not block.
 	AcknowledgedChanged()
 	// ClockMS is the time in milliseconds since the Unix epoch; called from any goroutine.
@@ -139,8 +139,8 @@
 	s.owner.AcknowledgedChanged()
 }
 
-// PublishOpinions answers those who wait and share in what is seen of caches.
-func (s *Server) PublishOpinions() {
+// PublishHealth answers those who wait and share in what is seen of caches.
+func (s *Server) PublishHealth() {
 	for c := range s.watchers {
 		if c.waiting && c.call.Announce != nil && len(c.call.Announce.Signals) > 0 {
 			c.offer()
--- a/internal/controlplane/watch/watcher.go
+++ b/internal/controlplane/watch/watcher.go
@@ -114,7 +114,7 @@
 		add("turns", g)
 	}
 	if len(c.call.Announce.Signals) > 0 {
-		if o := owner.Opinions(c.call.Announce.ID()); o != nil {
+		if o := owner.Health(c.call.Announce.ID()); o != nil {
 			add("signals", o)
 			opinions = true
 		}
--- a/internal/controlplane/watchowner.go
+++ b/internal/controlplane/watchowner.go
@@ -37,18 +37,18 @@
 
 // Request implements watch.Owner.
 func (o watchOwner) Request(a bulletin.Announcement, acknowledged int64) bool {
-	o.server.membership.heard(a, acknowledged)
+	o.server.membership.observe(a, acknowledged)
 	return true
 }
 
 // Granted implements watch.Owner.
 func (o watchOwner) Granted(directorID string) *quota.Grant {
-	return o.server.membership.granted(directorID)
+	return o.server.membership.takeGrant(directorID)
 }
 
-// Opinions implements watch.Owner.
-func (o watchOwner) Opinions(directorID string) *signals.Opinions {
-	return o.server.membership.opinions(directorID)
+// Health implements watch.Owner.
+func (o watchOwner) Health(directorID string) *signals.Opinions {
+	return o.server.membership.aggregatedHealth(directorID)
 }
 
 // AcknowledgedChanged implements watch.Owner.
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -77,7 +77,7 @@
 	net         []message
 	fleet       fleet.Fleet
 	tracker     *membership.Tracker
-	leases      *replica.Granter
+	leases      *replica.Lessor
 	noLeader    time.Duration // until then
 	disturbance time.Duration
 	names       int
@@ -151,7 +151,7 @@
 	}
 	m.tracker = membership.New(membership.Settings{Lease: direct, Director: directorLease, Session: relay.Lease, Drift: drift, Gather: 150 * ms})
 	m.tracker.Begin(m.fleet, m.now)
-	m.leases = replica.NewGranter(replica.Lease{Length: relay.Lease, Drift: drift})
+	m.leases = replica.NewLessor(replica.Lease{Length: relay.Lease, Drift: drift})
 	m.leases.Lead(true, m.now)
 }
 
@@ -227,7 +227,7 @@
 	if !r.alive || !r.holder.Holds(now) || d.calling != number {
 		return
 	}
-	r.session.Heard(a, acknowledged, now)
+	r.session.Observe(a, acknowledged, now)
 	d.lapsed = d.lapsed || called >= d.lease
 	d.relayed, d.relayedAt = r.number, m.now
 	revision := r.revision
@@ -320,7 +320,7 @@
 
 func (m *model) check() {
 	if m.now >= m.noLeader && m.tracker.Settled(m.now) {
-		everywhere := m.leases.Told(m.fleet.Revision, m.now, departedWithin)
+		everywhere := m.leases.Acknowledged(m.fleet.Revision, m.now, departedWithin)
 		for _, d := range m.directors {
 			if m.inLease(d) && d.acknowledged < everywhere {
 				m.fail("%s has %d and all are said to have %d", d.ID(), d.acknowledged, everywhere)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -69,9 +69,9 @@
 	}
 }
 
-// Heard takes a director's watch request in; acknowledged is the revision after which it asks. It must be called before the
+// Observe takes a director's watch request in; acknowledged is the revision after which it asks. It must be called before the
 // request is answered. False means that the relay has as many directors as it may: this one must not be answered.
-func (s *Session) Heard(a bulletin.Announcement, acknowledged int64, now time.Duration) bool {
+func (s *Session) Observe(a bulletin.Announcement, acknowledged int64, now time.Duration) bool {
 	id := a.ID()
 	known := s.directors[id]
 	if known == nil && !a.Leaving && len(s.directors) >= MaxDirectors {
@@ -140,8 +140,8 @@
 	return grant
 }
 
-// Opinions are what a director is to be sent of caches' health; nil if nothing is new to it.
-func (s *Session) Opinions(directorID string, now time.Duration) *signals.Opinions {
+// Health are what a director is to be sent of caches' health; nil if nothing is new to it.
+func (s *Session) Health(directorID string, now time.Duration) *signals.Opinions {
 	if o, is := s.opinions.For(directorID, now); is {
 		return &o
 	}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -48,7 +48,7 @@
 func TestSteadyRequestIsSmall(t *testing.T) {
 	s, now := New(testSettings, &fakeQuota{}), time.Hour
 	for i := range 400 {
-		s.Heard(announcement(i), 1000, now)
+		s.Observe(announcement(i), 1000, now)
 	}
 	first := s.Request(1000, 1000, now)
 	s.Answered(Answer{Sequence: first.Sequence}, now)
@@ -59,7 +59,7 @@
 		now += 50 * ms
 		revision := int64(1001 + round)
 		for i := range 400 {
-			s.Heard(announcement(i), revision-1, now)
+			s.Observe(announcement(i), revision-1, now)
 		}
 		r := s.Request(revision, revision-1, now)
 		body, err := json.Marshal(r)
@@ -77,7 +77,7 @@
 // confirms nothing.
 func TestChangesAreRepeatedUntilAnswered(t *testing.T) {
 	s, now := New(testSettings, nil), time.Hour
-	s.Heard(announcement(1), 5, now)
+	s.Observe(announcement(1), 5, now)
 	first := s.Request(5, 5, now)
 	second := s.Request(5, 5, now)
 	if s.Answered(Answer{Sequence: first.Sequence}, now); len(second.Joined) != 1 || !second.Full {
@@ -87,13 +87,13 @@
 		t.Fatalf("an answer to an old request confirmed: %+v", third)
 	}
 	s.Answered(Answer{Sequence: 3}, now)
-	s.Heard(announcement(2), 4, now)
+	s.Observe(announcement(2), 4, now)
 	fourth := s.Request(5, 5, now)
 	if len(fourth.Joined) != 1 || fourth.Full || fourth.Answered != 3 || fourth.Acknowledged != 4 {
 		t.Fatalf("%+v", fourth)
 	}
 	now += 417 * ms
-	s.Heard(announcement(1), 5, now)
+	s.Observe(announcement(1), 5, now)
 	s.Answered(Answer{Sequence: 4}, now) // confirms that 2 has joined, and not that it is lost
 	fifth := s.Request(5, 5, now)
 	if len(fifth.Lost) != 1 || len(fifth.Joined) != 0 {
@@ -101,7 +101,7 @@
 	}
 	leaving := announcement(1)
 	leaving.Leaving = true
-	s.Heard(leaving, 5, now)
+	s.Observe(leaving, 5, now)
 	s.Answered(Answer{Sequence: 5, NeedFull: true}, now)
 	if sixth := s.Request(5, 5, now); len(sixth.Left) != 1 || len(sixth.Lost) != 1 || !sixth.Full {
 		t.Fatalf("%+v", sixth)
@@ -115,7 +115,7 @@
 		a := announcement(i)
 		a.Signals, _ = json.Marshal(signals.Report{Holder: a.ID(), Seq: 1, Boxes: []signals.Evidence{{Box: "b", Tried: 1}}})
 		a.Complete = []int64{int64(i), 7}
-		if taken := s.Heard(a, 1, now); taken != (i < MaxDirectors) {
+		if taken := s.Observe(a, 1, now); taken != (i < MaxDirectors) {
 			t.Fatalf("director %d: taken %v", i, taken)
 		}
 	}
@@ -143,7 +143,7 @@
 			if i == 0 {
 				a = 10
 			}
-			s.Heard(announcement(i), a, now)
+			s.Observe(announcement(i), a, now)
 		}
 		s.Request(10, 10, now)
 	}
@@ -158,7 +158,7 @@
 	s, now := New(testSettings, q), time.Hour
 	a := announcement(1)
 	a.Turns, _ = json.Marshal(quota.Renewal{Holder: a.ID(), Seq: 9})
-	s.Heard(a, 1, now)
+	s.Observe(a, 1, now)
 	if g := s.Granted(a.ID()); g == nil || g.Seq != 9 || s.Granted(a.ID()) != nil {
 		t.Fatalf("%+v", g)
 	}
@@ -167,7 +167,7 @@
 	if !s.Answered(Answer{Sequence: r.Sequence, Grant: &quota.Grant{Seq: 4}, Opinions: o}, now) || len(q.taken) != 1 || q.taken[0].Seq != 4 {
 		t.Fatalf("%+v", q.taken)
 	}
-	if x := s.Opinions(a.ID(), now+100*ms); x == nil || x.All[0].AgeMS != 100 || s.Opinions(a.ID(), now+100*ms) != nil {
+	if x := s.Health(a.ID(), now+100*ms); x == nil || x.All[0].AgeMS != 100 || s.Health(a.ID(), now+100*ms) != nil {
 		t.Fatalf("%+v", x)
 	}
 	if r := s.Request(1, 1, now); r.OpinionsEpoch != 3 || r.OpinionsSeq != 2 {
@@ -178,7 +178,7 @@
 // A director is lost once its lease is over by any clock that runs apart by no more than the drift, and not before.
 func TestLostAfterTheLease(t *testing.T) {
 	s, now := New(testSettings, nil), time.Hour
-	s.Heard(announcement(1), 1, now)
+	s.Observe(announcement(1), 1, now)
 	if r := s.Request(1, 1, now+416*ms); len(r.Lost) != 0 || r.Directors != 1 {
 		t.Fatalf("%+v", r)
 	}
--- a/internal/replica/lease_test.go
+++ b/internal/replica/lease_test.go
@@ -20,7 +20,7 @@
 	rate := func() float64 { return 1 + (2*rng.Float64()-1)*lease.Drift }
 	clock := []float64{rate(), rate(), rate()}
 	at := func(who int, t time.Duration) time.Duration { return time.Duration(float64(t)*clock[who]) + time.Hour }
-	granters := []*Granter{NewGranter(lease), NewGranter(lease)}
+	granters := []*Lessor{NewLessor(lease), NewLessor(lease)}
 	var holder Holder
 	last, has := int64(1), int64(1) // the last event; what the holder's followers have
 	leader := 0
@@ -65,7 +65,7 @@
 		if rng.IntN(40) == 0 {
 			has = last // its followers catch up
 		}
-		if granters[leader].Told(last, at(leader, t), 0) > has && holder.Holds(at(2, t)) {
+		if granters[leader].Acknowledged(last, at(leader, t), 0) > has && holder.Holds(at(2, t)) {
 			return true
 		}
 	}
@@ -95,9 +95,9 @@
 // counts as any follower's that left.
 func TestALostHolderIsWaitedForOnce(t *testing.T) {
 	l := Lease{Length: 200 * time.Millisecond, Drift: 0.02}
-	g := NewGranter(l)
+	g := NewLessor(l)
 	g.Lead(true, 0)
-	if n := g.Told(9, 100*time.Millisecond, 0); n != 0 {
+	if n := g.Acknowledged(9, 100*time.Millisecond, 0); n != 0 {
 		t.Errorf("a leader that has just begun tells up to %d", n)
 	}
 	g.Give(5, 7, time.Second)
@@ -105,15 +105,15 @@
 		at, within time.Duration
 		want       int64
 	}{{time.Second, 0, 7}, {time.Second + 207*time.Millisecond, 0, 7}, {time.Second + 208*time.Millisecond, 0, 9}} {
-		if n := g.Told(9, c.at, c.within); n != c.want {
+		if n := g.Acknowledged(9, c.at, c.within); n != c.want {
 			t.Errorf("at %v: told up to %d, not %d", c.at, n, c.want)
 		}
 	}
 	g.Give(5, 7, 2*time.Second)
-	if n := g.Told(9, 4*time.Second, 7*time.Second); n != 7 {
+	if n := g.Acknowledged(9, 4*time.Second, 7*time.Second); n != 7 {
 		t.Errorf("followers of a copy that is gone count as told at once: %d", n)
 	}
-	if n := g.Told(9, 10*time.Second, 7*time.Second); n != 9 {
+	if n := g.Acknowledged(9, 10*time.Second, 7*time.Second); n != 9 {
 		t.Errorf("a copy that is gone is waited for without end: %d", n)
 	}
 }
