Give a director's and a relay's costs with relays and without, and take in scale runs

Cause: the page counted watch calls as if no relay gathered events, and knew neither the tree of quotas nor runs of processes.

--- a/cmd/stairvane-fleet/capacity.go
+++ b/cmd/stairvane-fleet/capacity.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"os"
+	"path/filepath"
 
 	"github.com/olekukonko/tablewriter"
 
@@ -18,7 +20,7 @@
 	Slopes string            `default:"docs/design/capacity-slopes.json" help:"The file of laws with their measured points."`
 	Size   map[string]string `help:"Values other than the operators', such as directors=1000;purges-per-second=5."`
 	Design map[string]string `help:"Values other than the program's, such as relays=5;replicas=5."`
-	Add    string            `help:"A file of further laws, such as those of whole processes: they are fitted to their points and added to the file of laws, in place of those of the same names. Prints nothing."`
+	Add    []string          `type:"path" help:"Files of further measurements, which are kept in the file of laws, in place of those of the same names: laws, which are fitted to their points, or runs that stairvane scale has saved. Prints nothing."`
 	Write  string            `help:"Write the tables into a page, between its markers, and print nothing."`
 }
 
@@ -41,24 +43,24 @@
 			return fmt.Errorf("--design: %w", err)
 		}
 	}
-	laws, err := readLaws(c.Slopes, capacity.Read)
+	measured, err := readMeasured(c.Slopes, capacity.Read)
 	if err != nil {
 		return err
 	}
-	if c.Add != "" {
-		more, err := readLaws(c.Add, capacity.ReadPoints)
-		if err != nil {
-			return err
+	if len(c.Add) > 0 {
+		for _, path := range c.Add {
+			if err := addMeasured(&measured, path); err != nil {
+				return err
+			}
 		}
-		maps.Copy(laws, more)
-		if err := writeLaws(c.Slopes, laws); err != nil || c.Write == "" {
+		if err := writeMeasured(c.Slopes, measured); err != nil || c.Write == "" {
 			return err
 		}
 	}
 	if c.Write != "" {
-		return writeCapacityPage(c.Write, size, design, laws)
+		return writeCapacityPage(c.Write, size, design, measured)
 	}
-	figures := capacity.Table(size, design, laws)
+	figures := capacity.Table(size, design, measured)
 	if c.Output == "json" {
 		return writeJSON(s.out, capacityReport{Size: size, Design: design, Figures: figures})
 	}
@@ -72,34 +74,62 @@
 	return table.Render()
 }
 
-func readLaws(path string, read func(io.Reader) (capacity.Laws, error)) (capacity.Laws, error) {
+func readMeasured(path string, read func(io.Reader) (capacity.Measured, error)) (capacity.Measured, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, err
+		return capacity.Measured{}, err
 	}
 	defer file.Close()
-	laws, err := read(file)
+	measured, err := read(file)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return measured, fmt.Errorf("%s: %w", path, err)
+	}
+	return measured, nil
+}
+
+// addMeasured takes in a file of laws, or one that a scale run has saved: that one has settings.
+func addMeasured(measured *capacity.Measured, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var kind struct {
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &kind); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if kind.Settings == nil {
+		more, err := readMeasured(path, capacity.ReadPoints)
+		if err != nil {
+			return err
+		}
+		maps.Copy(measured.Laws, more.Laws)
+		return nil
+	}
+	rows, err := capacity.ReadScaleRun(bytes.NewReader(text), filepath.Base(path))
+	if err != nil {
+		return err
 	}
-	return laws, nil
+	measured.AddRows(rows)
+	return nil
 }
 
-func writeLaws(path string, laws capacity.Laws) error {
+func writeMeasured(path string, measured capacity.Measured) error {
 	var text bytes.Buffer
-	if err := laws.Write(&text); err != nil {
+	if err := measured.Write(&text); err != nil {
 		return err
 	}
 	return os.WriteFile(path, text.Bytes(), 0o644)
 }
 
 // writeCapacityPage rewrites a page's generated tables.
-func writeCapacityPage(path string, size capacity.Size, design capacity.Design, laws capacity.Laws) error {
+func writeCapacityPage(path string, size capacity.Size, design capacity.Design, measured capacity.Measured) error {
 	page, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	text, err := capacity.Rewrite(string(page), size, design, laws)
+	text, err := capacity.Rewrite(string(page), size, design, measured)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
--- a/cmd/stairvane-fleet/capacity_test.go
+++ b/cmd/stairvane-fleet/capacity_test.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	points := `{"laws":[{"name":"process.director.cores","about":"a","x_unit":"director","unit":"cores","points":[{"x":1,"y":2},{"x":2,"y":4},
+	points := `{"laws":[{"name":"process.director.cores.with_relays","about":"a","x_unit":"director","unit":"cores","points":[{"x":1,"y":2},{"x":2,"y":4},
 		{"x":3,"y":6},{"x":4,"y":8},{"x":5,"y":10}],"source":{"command":"stairvane scale","at":"2026-12-02T05:00:00Z","machine":"m"}}]}`
 	if err := errors.Join(os.WriteFile(laws, text, 0o600), os.WriteFile(more, []byte(points), 0o600)); err != nil {
 		t.Fatal(err)
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	for _, f := range report.Figures {
-		if f.Name == "processor time of control, whole process" && f.Role == capacity.Director {
+		if f.Name == "processor time of control, whole process, with relays, no cold cache" && f.Role == capacity.Director {
 			if math.Abs(f.Value-20) > 1e-9 || f.Verdict != capacity.Broken || f.Terms[0].Beyond != 2 {
 				t.Errorf("%+v", f)
 			}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -50,7 +50,7 @@
 		changed := law
 		change(&changed)
 		var text bytes.Buffer
-		if err := (Laws{"l": changed}).Write(&text); err != nil {
+		if err := (Measured{Laws: Laws{"l": changed}}).Write(&text); err != nil {
 			t.Fatal(err)
 		}
 		again := bytes.NewReader(text.Bytes())
@@ -58,7 +58,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 		fitted, err := ReadPoints(again) // which takes anything but points and source from the points
-		if same := err == nil && reflect.DeepEqual(fitted["l"], law); same == (name == "points" || name == "source" || name == "unnamed") {
+		if same := err == nil && reflect.DeepEqual(fitted.Laws["l"], law); same == (name == "points" || name == "source" || name == "unnamed") {
 			t.Errorf("%s, fitted anew: %+v, %v", name, fitted, err)
 		}
 	}
@@ -66,14 +66,14 @@
 
 // Each verdict comes out, and a law that is read beyond its points is marked.
 func TestVerdicts(t *testing.T) {
-	law, err := NewLaw("process.director.cores", "", "director", Cores, []Point{{100, 0.01}, {200, 0.02}, {300, 0.03}, {400, 0.04}, {500, 0.05}},
+	law, err := NewLaw("process.director.cores.without_relays", "", "director", Cores, []Point{{100, 0.01}, {200, 0.02}, {300, 0.03}, {400, 0.04}, {500, 0.05}},
 		Source{Command: "c", At: time.Unix(1, 0)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	find := func(size Size, laws Laws) Figure {
-		for _, f := range Table(size, Current(), laws) {
-			if f.Name == "processor time of control, whole process" {
+	find := func(size Size, laws Laws, rows ...Row) Figure {
+		for _, f := range Table(size, Current(), Measured{Laws: laws, Rows: rows}) {
+			if f.Name == "processor time of control, whole process, without relays, no cold cache" {
 				return f
 			}
 		}
@@ -89,6 +89,26 @@
 	if f.Verdict != Broken || f.Terms[0].Beyond != 2 || math.Abs(f.Times()-0.1/0.039) > 1e-9 {
 		t.Errorf("1,000 directors: %+v", f)
 	}
+	fell := Row{Directors: 600, Collapsed: []string{"directors lost their leases"}}
+	if f := find(large, Laws{law.Name: law}, fell); f.Verdict != Collapsed || f.CollapsedAt != 600 || f.Times() != 0 {
+		t.Errorf("1,000 directors, where 600 collapsed: %+v", f)
+	}
+	relayed, cold := fell, fell
+	relayed.Relays, cold.ColdCaches = 9, 8
+	if f := find(large, Laws{law.Name: law}, relayed, cold); f.Verdict != Broken {
+		t.Errorf("where 600 with relays or with cold caches collapsed: %+v", f)
+	}
+	if f := find(small, Laws{law.Name: law}, fell); f.Verdict != Kept {
+		t.Errorf("250 directors, where 600 collapsed: %+v", f)
+	}
+	if f := find(small, Laws{law.Name: law}); f.Terms[0].Measured != 0 {
+		t.Errorf("250 directors were not measured: %+v", f)
+	}
+	measured := Operators()
+	measured.Directors = 301
+	if f := find(measured, Laws{law.Name: law}); f.Terms[0].Measured != 0.03 {
+		t.Errorf("301 directors are 300 as they were measured: %+v", f)
+	}
 	if f := find(large, Laws{}); f.Verdict != NotMeasured || f.Value != 0 || len(BrokenFirst([]Figure{f})) != 0 {
 		t.Errorf("without a law: %+v", f)
 	}
@@ -99,6 +119,7 @@
 	d := Current()
 	milliseconds := func(t time.Duration) string { return strconv.FormatInt(t.Milliseconds(), 10) }
 	for _, x := range []struct{ file, pattern, value string }{
+		{"internal/opfile/relay.go", `Gather: (\d+) \* time.Millisecond`, milliseconds(d.RelayGather)},
 		{"internal/program/timing.go", `announcedPatience = (\d+) \* time.Millisecond`, milliseconds(d.WatchPatience)},
 		{"internal/program/timing.go", `RetryMax: +(\d+) \* time.Millisecond, // while`, milliseconds(d.ReconnectRetry)},
 		{"internal/program/timing.go", `watchRetrySpread = (\d+) \* time.Microsecond`, strconv.FormatInt(d.ReconnectSpread.Microseconds(), 10)},
@@ -125,6 +146,25 @@
 	}
 }
 
+// A relay that gathers for as long as a call lasts has each director call once in that time; one that does not gather, with each event.
+func TestCallsPerSecond(t *testing.T) {
+	c := &calculation{Size: Operators(), Design: Current()}
+	events := c.eventsPerSecond()
+	patience := c.WatchPatience.Seconds()
+	for gather, want := range map[time.Duration]float64{
+		0:                      events / (1 - math.Exp(-events*patience)),
+		100 * time.Millisecond: 10,
+		200 * time.Millisecond: 10,
+	} {
+		if got := c.callsPerSecond(gather); math.Abs(got-want) > 1e-9 {
+			t.Errorf("gathering for %v: %v calls a second, not %v", gather, got, want)
+		}
+	}
+	if some := c.callsPerSecond(50 * time.Millisecond); some <= 10 || some >= c.callsPerSecond(0) {
+		t.Errorf("gathering for 50 ms: %v calls a second", some)
+	}
+}
+
 func TestSet(t *testing.T) {
 	size, design := Operators(), Current()
 	for _, err := range []error{size.Set("directors", "10"), size.Set("purge-within", "2s"), size.Set("purges-per-second", "0.5"), design.Set("relays", "4")} {
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -1,12 +1,15 @@
 package capacity
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 func loopCores(_ Size, d Design) float64 { return d.LoopCores }
 
 // watchCores is the time of a watch server with so many directors.
-func (c *calculation) watchCores(directors float64) float64 {
-	calls := directors * c.callsPerSecond() * c.at(lawServerCallTime, float64(c.ColdCaches))
+func (c *calculation) watchCores(s serving, directors float64) float64 {
+	calls := directors * c.calls(s) * c.at(lawServerCallTime, float64(c.coldCaches(s)))
 	return calls + c.eventsPerSecond()*c.at(lawAnswerTime, directors)
 }
 
@@ -42,52 +45,57 @@
 	return perSecond(c.TickEvery)*c.at(lawTickTime, directors) + perSecond(c.GatherEvery)*c.at(lawChangeTime, directors)
 }
 
-func (c *calculation) leaderMemory() float64 {
-	directors := float64(c.Directors)
-	return c.at(lawAdoptionMemory, directors*float64(c.AdoptionKept)) + c.at(lawQuotaMemory, directors) +
-		c.at(lawHealthMemory, directors) + c.at(lawTrackerMemory, directors)
+// relayRequestCores is the time of the leader for the requests of all relays.
+func (c *calculation) relayRequestCores() float64 {
+	return float64(c.Relays) * perSecond(c.LeaseEvery) * c.at(lawRelayRequestTime, c.directorsPer(c.Relays))
 }
 
-var relayFormulas = []formula{
-	{role: Relay, name: "machines of control", unit: Machines, budget: func(s Size, _ Design) float64 { return float64(s.ControlMachines) },
+var relayFormulas = slices.Concat(
+	[]formula{{role: Relay, name: "machines of control", unit: Machines, budget: func(s Size, _ Design) float64 { return float64(s.ControlMachines) },
 		mechanism: "a relay for each region and the replicas, each on a machine of its own",
 		working:   "relays + replicas",
-		value:     func(c *calculation) float64 { return float64(c.Relays + c.Replicas) }},
-	{role: Relay, name: "processor time of watches", unit: Cores, budget: loopCores,
-		mechanism: "the watch server of a replica, which a relay takes over; one loop",
-		working:   "directors/relays x calls/s x time of a call + events/s x answer to all",
-		value:     func(c *calculation) float64 { return c.watchCores(c.directorsPer(c.Relays)) }},
-	{role: Relay, name: "processor time of quotas", unit: Cores, budget: loopCores,
-		mechanism: "an allocator of its own for its directors, as it is at the leader today",
-		working:   "directors/relays x renewals/s x renewal among so many holders with 8 limits",
-		value: func(c *calculation) float64 {
-			return c.renewalCores(lawRenewalColdTime, c.directorsPer(c.Relays), c.callsPerSecond())
-		}},
-	{role: Relay, name: "bytes to and from its directors", unit: BytesPerSecond,
+		value:     func(c *calculation) float64 { return float64(c.Relays + c.Replicas) }}},
+	forServings(relayedServings, formula{role: Relay, name: "processor time of watches", unit: Cores, budget: loopCores,
+		mechanism: "the watch server of a replica, which a relay takes over; one loop; events are gathered",
+		working:   "directors/relays x calls/s x time of a call + events/s x answer to all"},
+		func(c *calculation, s serving) float64 { return c.watchCores(s, c.directorsPer(c.Relays)) }),
+	[]formula{
+		{role: Relay, name: "processor time of quotas, cold caches", unit: Cores, budget: loopCores,
+			mechanism: "a node of the tree of quotas divides what the leader gave it; its own renewals go over its directors",
+			working:   "directors/relays x calls/s x renewal with 8 limits, the node's own renewals in it",
+			value: func(c *calculation) float64 {
+				directors := c.directorsPer(c.Relays)
+				return directors * c.callsPerSecond(c.RelayGather) * c.at(lawRelayRenewalTime, directors)
+			}},
+		{role: Relay, name: "bytes to the leader, cold caches", unit: BytesPerSecond,
+			mechanism: "one session: what has changed, one acknowledged revision, one renewal of the sum; health reports are not in it",
+			working:   "lease calls/s x (request + renewal with 8 limits)",
+			value: func(c *calculation) float64 {
+				directors := c.directorsPer(c.Relays)
+				return perSecond(c.LeaseEvery) * (c.at(lawRelayRequestBytes, directors) + c.at(lawRelayRenewalBytes, directors))
+			}},
+		{role: Relay, name: "memory of the event log", unit: Bytes,
+			mechanism: "the history in the form of answers; no store",
+			working:   "by events kept",
+			value:     func(c *calculation) float64 { return c.at(lawHistoryMemory, c.historyMost()) }},
+	},
+	forServings(relayedServings, formula{role: Relay, name: "bytes to and from its directors", unit: BytesPerSecond,
 		mechanism: "the unchanged watch protocol; TCP and IP headers are not in it",
-		working:   "directors/relays x bytes of control of a director",
-		value:     func(c *calculation) float64 { return c.directorsPer(c.Relays) * c.controlBytes() }},
-	{role: Relay, name: "memory of the event log", unit: Bytes,
-		mechanism: "the history in the form of answers; no store",
-		working:   "by events kept",
-		value:     func(c *calculation) float64 { return c.at(lawHistoryMemory, c.historyMost()) }},
-	{role: Relay, name: "processor time, whole process", unit: Cores, budget: loopCores,
-		mechanism: "a relay that runs",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessRelayCores, c.directorsPer(c.Relays)) }},
-	{role: Relay, name: "memory, whole process", unit: Bytes,
-		mechanism: "a relay that runs",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessRelayMemory, c.directorsPer(c.Relays)) }},
-}
+		working:   "directors/relays x bytes of control of a director"},
+		func(c *calculation, s serving) float64 { return c.directorsPer(c.Relays) * c.controlBytes(s) }),
+	relayFormulasOf(formula{role: Relay, name: "processor time, whole process", unit: Cores, budget: loopCores,
+		mechanism: "a relay with hollow directors"}, processRelayCores),
+	relayFormulasOf(formula{role: Relay, name: "memory, whole process", unit: Bytes,
+		mechanism: "a relay with hollow directors"}, processRelayMemory),
+)
 
-var replicaFormulas = []formula{
-	{role: Replica, name: "processor time of watches, without relays", unit: Cores, budget: loopCores,
+var replicaFormulas = slices.Concat([]formula{
+	{role: Replica, name: "processor time of watches, without relays, cold caches", unit: Cores, budget: loopCores,
 		mechanism: "one loop reads calls and writes answers; an event is encoded once for all",
 		working:   "directors/replicas x calls/s x time of a call + events/s x answer to all",
-		value:     func(c *calculation) float64 { return c.watchCores(c.directorsPer(c.Replicas)) }},
+		value:     func(c *calculation) float64 { return c.watchCores(serving{cold: true}, c.directorsPer(c.Replicas)) }},
 	{role: Replica, name: "processor time of lease calls, without relays", unit: Cores, budget: loopCores,
-		mechanism: "every heartbeat, renewal and report is passed on in the next lease call",
+		mechanism: "where directors watch a replica, every heartbeat, renewal and report is passed on in the next lease call",
 		working:   "lease calls/s x (writing one + lowest acknowledged revision)",
 		value:     func(c *calculation) float64 { return c.leaseCores(c.directorsPer(c.Replicas)) }},
 	{role: Replica, name: "bytes of lease calls, without relays", unit: BytesPerSecond,
@@ -104,12 +112,9 @@
 		mechanism: "changes that come together share one sync of the disk; measured on a store alone, without the group",
 		working:   "events/s x time of one among 64 writers",
 		value:     func(c *calculation) float64 { return c.eventsPerSecond() * c.each(lawCommitTime) }},
-	{role: Replica, name: "processor time, whole process, without relays", unit: Cores, budget: loopCores,
-		mechanism: "a replica that follows",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessReplicaCores, float64(c.Directors)) }},
-	{role: Replica, name: "memory, whole process, without relays", unit: Bytes,
-		mechanism: "a replica that follows",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessReplicaMemory, float64(c.Directors)) }},
-}
+},
+	processFormulas(servings, formula{role: Replica, name: "processor time, whole process", unit: Cores, budget: loopCores,
+		mechanism: "a replica that follows"}, processReplicaCores),
+	processFormulas(servings, formula{role: Replica, name: "memory, whole process", unit: Bytes,
+		mechanism: "a replica that follows"}, processReplicaMemory),
+)
--- a/internal/capacity/director.go
+++ b/internal/capacity/director.go
@@ -1,13 +1,15 @@
 package capacity
 
+import "slices"
+
 func directorCores(s Size, _ Design) float64  { return s.DirectorCores }
 func directorMemory(s Size, _ Design) float64 { return s.DirectorBytes }
 func directorBytes(s Size, _ Design) float64  { return s.DirectorBytesPerSecond }
 
-// callBytes is what one watch call costs both ways, besides events.
-func (c *calculation) callBytes() float64 {
-	cold := float64(c.ColdCaches)
-	return c.at(lawCallBytes, cold) + c.at(lawAnswerBytes, cold)
+// callBytes is what watch calls cost both ways, besides events, a second.
+func (c *calculation) callBytes(s serving) float64 {
+	cold := float64(c.coldCaches(s))
+	return c.calls(s) * (c.at(lawCallBytes, cold) + c.at(lawAnswerBytes, cold))
 }
 
 // eventBytes is what all events cost each director, a second.
@@ -21,12 +23,12 @@
 }
 
 // controlBytes is all that control costs a director, both ways, a second.
-func (c *calculation) controlBytes() float64 {
-	return c.callsPerSecond()*c.callBytes() + c.eventBytes() + c.reportBytes()
+func (c *calculation) controlBytes(s serving) float64 {
+	return c.callBytes(s) + c.eventBytes() + c.reportBytes()
 }
 
-func (c *calculation) directorCallCores() float64 {
-	return c.callsPerSecond() * c.at(lawDirectorCallTime, float64(c.ColdCaches))
+func (c *calculation) directorCallCores(s serving) float64 {
+	return c.calls(s) * c.at(lawDirectorCallTime, float64(c.coldCaches(s)))
 }
 
 func (c *calculation) directorEventCores() float64 {
@@ -35,25 +37,26 @@
 		c.membershipPerSecond()*c.at(lawMemberChangeTime, float64(c.Directors))
 }
 
-var directorFormulas = []formula{
-	{role: Director, name: "processor time of watch calls", unit: Cores,
-		mechanism: "one long poll at a time; each event ends it, and so does its patience",
-		working:   "calls/s x time of a call with quotas of 8 cold caches",
-		value:     (*calculation).directorCallCores},
-	{role: Director, name: "processor time of events", unit: Cores,
-		mechanism: "a purge goes over the open requests; a host change over the list; a membership change over all directors",
-		working:   "purges/s x purge + changes/s x host change + membership changes/s x change",
-		value:     (*calculation).directorEventCores},
-	{role: Director, name: "processor time of control, in code", unit: Cores, budget: directorCores,
-		mechanism: "the two above; system calls are not in it",
-		working:   "calls + events",
-		value: func(c *calculation) float64 {
-			return c.directorCallCores() + c.directorEventCores()
-		}},
-	{role: Director, name: "processor time of control, whole process", unit: Cores, budget: directorCores,
-		mechanism: "the same, system calls counted",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessDirectorCores, float64(c.Directors)) }},
+var directorFormulas = slices.Concat(directorTimeFormulas(), directorMemoryFormulas, directorByteFormulas(), directorStateFormulas)
+
+func directorTimeFormulas() []formula {
+	return slices.Concat(
+		forServings(servings, formula{role: Director, name: "processor time of watch calls", unit: Cores,
+			mechanism: "one long poll at a time; each event ends it, and so does its patience; a relay gathers events for that time",
+			working:   "calls/s x time of a call with quotas of so many cold caches"}, (*calculation).directorCallCores),
+		[]formula{{role: Director, name: "processor time of events", unit: Cores,
+			mechanism: "a purge goes over the open requests; a host change over the list; a membership change over all directors",
+			working:   "purges/s x purge + changes/s x host change + membership changes/s x change",
+			value:     (*calculation).directorEventCores}},
+		forServings(servings, formula{role: Director, name: "processor time of control, in code", unit: Cores, budget: directorCores,
+			mechanism: "the two above; system calls and the building of health reports are not in it",
+			working:   "calls + events"},
+			func(c *calculation, s serving) float64 { return c.directorCallCores(s) + c.directorEventCores() }),
+		processFormulas(servings, formula{role: Director, name: "processor time of control, whole process", unit: Cores, budget: directorCores,
+			mechanism: "a real director without requests, system calls counted"}, processDirectorCores))
+}
+
+var directorMemoryFormulas = []formula{
 	{role: Director, name: "memory of the host list", unit: Bytes,
 		mechanism: "every cache of all zones is kept twice: in routing with its links, and in the decision module",
 		working:   "by caches",
@@ -73,30 +76,32 @@
 			return c.at(lawHostMemory, float64(c.Caches)) + c.each(lawPurgeMemory)*c.purgesKept() +
 				c.each(lawMembershipMemory)*float64(c.Directors)
 		}},
-	{role: Director, name: "memory, whole process", unit: Bytes, budget: directorMemory,
-		mechanism: "the same with the program's code, stacks and what the collector leaves",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessDirectorMemory, float64(c.Directors)) }},
-	{role: Director, name: "bytes of watch calls", unit: BytesPerSecond,
-		mechanism: "a JSON header announces the director anew with each call, its quota renewal in it",
-		working:   "calls/s x (call + answer with quotas of 8 cold caches)",
-		value:     func(c *calculation) float64 { return c.callsPerSecond() * c.callBytes() }},
-	{role: Director, name: "bytes of events", unit: BytesPerSecond,
-		mechanism: "each event goes to each director",
-		working:   "purges/s + host changes/s + membership changes/s, by their bytes",
-		value:     (*calculation).eventBytes},
-	{role: Director, name: "bytes of health reports", unit: BytesPerSecond,
-		mechanism: "in the same header; each 0.5 s where nothing fails",
-		working:   "reports/s x report on the caches of one zone",
-		value:     (*calculation).reportBytes},
-	{role: Director, name: "bytes of control", unit: BytesPerSecond, budget: directorBytes,
-		mechanism: "the three above; TCP and IP headers are not in it",
-		working:   "calls + events + reports",
-		value:     (*calculation).controlBytes},
-	{role: Director, name: "bytes of control, whole process", unit: BytesPerSecond, budget: directorBytes,
-		mechanism: "the same with headers of TCP and IP",
-		working:   "a run of processes",
-		value:     func(c *calculation) float64 { return c.at(lawProcessDirectorBytes, float64(c.Directors)) }},
+}
+
+func directorByteFormulas() []formula {
+	return slices.Concat(
+		processFormulas(servings, formula{role: Director, name: "memory, whole process", unit: Bytes, budget: directorMemory,
+			mechanism: "the same with the program's code, stacks and what the collector leaves"}, processDirectorMemory),
+		forServings(servings, formula{role: Director, name: "bytes of watch calls", unit: BytesPerSecond,
+			mechanism: "a JSON header announces the director anew with each call, its quota renewal in it",
+			working:   "calls/s x (call + answer with quotas of so many cold caches)"}, (*calculation).callBytes),
+		[]formula{{role: Director, name: "bytes of events", unit: BytesPerSecond,
+			mechanism: "each event goes to each director",
+			working:   "purges/s + host changes/s + membership changes/s, by their bytes",
+			value:     (*calculation).eventBytes},
+			{role: Director, name: "bytes of health reports", unit: BytesPerSecond,
+				mechanism: "in the same header; each 0.5 s where nothing fails",
+				working:   "reports/s x report on the caches of one zone",
+				value:     (*calculation).reportBytes}},
+		forServings(servings, formula{role: Director, name: "bytes of control", unit: BytesPerSecond, budget: directorBytes,
+			mechanism: "the three above; TCP and IP headers are not in it",
+			working:   "calls + events + reports"}, (*calculation).controlBytes),
+		processFormulas(servings, formula{role: Director, name: "bytes of a hollow director's watch", unit: BytesPerSecond, budget: directorBytes,
+			mechanism: "calls and answers with events, as counted; without health reports, configuration changes and headers of TCP and IP"},
+			processDirectorBytes))
+}
+
+var directorStateFormulas = []formula{
 	{role: Director, name: "the first answer", unit: Bytes, budget: func(_ Size, d Design) float64 { return d.LargestAnswer },
 		mechanism: "the whole list, the whole membership and the purges of ten minutes in one answer that can't be divided",
 		working:   "by directors + purges of ten minutes",
--- a/internal/capacity/law.go
+++ b/internal/capacity/law.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -133,18 +134,25 @@
 // Laws are laws by their names.
 type Laws map[string]Law
 
-// document is the file that laws are kept in.
+// Measured is all that was measured.
+type Measured struct {
+	Laws Laws
+	Rows []Row // of scale runs, run after run
+}
+
+// document is the file that laws and rows are kept in.
 type document struct {
 	Laws []Law `json:"laws"`
+	Rows []Row `json:"rows,omitempty"`
 }
 
-// Read reads laws, and refuses those that do not say what their points give.
-func Read(r io.Reader) (Laws, error) {
+// Read reads laws and rows, and refuses laws that do not say what their points give.
+func Read(r io.Reader) (Measured, error) {
 	return read(r, func(l Law) (Law, error) { return l, l.check() })
 }
 
 // ReadPoints reads laws in the same form of which only names, units, points and sources count, and fits them.
-func ReadPoints(r io.Reader) (Laws, error) {
+func ReadPoints(r io.Reader) (Measured, error) {
 	return read(r, func(l Law) (Law, error) {
 		fitted, err := NewLaw(l.Name, l.About, l.XUnit, l.Unit, l.Points, l.Source)
 		if err != nil {
@@ -154,32 +162,43 @@
 	})
 }
 
-func read(r io.Reader, accept func(Law) (Law, error)) (Laws, error) {
+func read(r io.Reader, accept func(Law) (Law, error)) (Measured, error) {
 	var d document
 	decoder := json.NewDecoder(r)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&d); err != nil {
-		return nil, fmt.Errorf("capacity: %w", err)
+		return Measured{}, fmt.Errorf("capacity: %w", err)
 	}
 	laws := Laws{}
 	for _, l := range d.Laws {
 		if _, again := laws[l.Name]; again || l.Name == "" {
-			return nil, fmt.Errorf("capacity: the law %q is there twice, or has no name", l.Name)
+			return Measured{}, fmt.Errorf("capacity: the law %q is there twice, or has no name", l.Name)
 		}
 		accepted, err := accept(l)
 		if err != nil {
-			return nil, fmt.Errorf("capacity: %w", err)
+			return Measured{}, fmt.Errorf("capacity: %w", err)
 		}
 		laws[l.Name] = accepted
 	}
-	return laws, nil
+	return Measured{Laws: laws, Rows: d.Rows}, nil
 }
 
-// Write writes laws in the order of their names.
-func (laws Laws) Write(w io.Writer) error {
+// Write writes laws in the order of their names, and rows.
+func (m Measured) Write(w io.Writer) error {
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", " ")
-	return encoder.Encode(document{Laws: laws.Sorted()})
+	return encoder.Encode(document{Laws: m.Laws.Sorted(), Rows: m.Rows})
+}
+
+// AddRows takes the rows of a scale run in, with their laws, in place of those of the same file or name.
+func (m *Measured) AddRows(rows []Row) {
+	if len(rows) == 0 {
+		return
+	}
+	m.Rows = slices.DeleteFunc(slices.Clone(m.Rows), func(r Row) bool { return r.File == rows[0].File })
+	m.Rows = append(m.Rows, rows...)
+	slices.SortStableFunc(m.Rows, func(a, b Row) int { return cmp.Compare(a.File, b.File) })
+	maps.Copy(m.Laws, ProcessLaws(rows))
 }
 
 // Sorted are the laws in the order of their names.
--- a/internal/capacity/measure/leader.go
+++ b/internal/capacity/measure/leader.go
@@ -34,8 +34,6 @@
 			Unit: capacity.Seconds, Sizes: holderSizes, At: func(size int) (float64, error) { return renewalTime(size, 0) }},
 		{Name: "leader.time.renewal_8_limits", About: "one quota renewal of 8 limits among so many holders of each", XUnit: "holder",
 			Unit: capacity.Seconds, Sizes: holderSizes, At: func(size int) (float64, error) { return renewalTime(size, 8) }},
-		{Name: "leader.time.renewal_8_limits_few", About: "the same among few holders, such as relays", XUnit: "holder",
-			Unit: capacity.Seconds, Sizes: []int{4, 8, 16, 32, 64}, At: func(size int) (float64, error) { return renewalTime(size, 8) }},
 		{Name: "leader.time.report", About: "one health report on 27 caches among so many directors", XUnit: "director",
 			Unit: capacity.Seconds, Sizes: directorSizes, At: reportTime},
 		{Name: "leader.time.health", About: "finding from reports on 27 caches of so many directors what all see", XUnit: "director",
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -41,7 +41,7 @@
 // All are all measures.
 func All() []Measure {
 	var all []Measure
-	for _, group := range [][]Measure{directorMeasures(), moduleMeasures(), wireMeasures(), replicaMeasures(), leaderMeasures(), operatorMeasures()} {
+	for _, group := range [][]Measure{directorMeasures(), moduleMeasures(), wireMeasures(), replicaMeasures(), relayMeasures(), leaderMeasures(), operatorMeasures()} {
 		all = append(all, group...)
 	}
 	return all
--- a/internal/capacity/measure/measure_test.go
+++ b/internal/capacity/measure/measure_test.go
@@ -32,7 +32,7 @@
 		path = other
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	laws, err := readLaws(path)
+	measured, err := readMeasured(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,11 +51,11 @@
 			t.Error(err)
 			continue
 		}
-		laws[law.Name] = law
+		measured.Laws[law.Name] = law
 		t.Logf("%-32s %v, in %v", law.Name, law.Points, time.Since(begin).Round(time.Millisecond))
 	}
 	var out bytes.Buffer
-	if err := laws.Write(&out); err != nil {
+	if err := measured.Write(&out); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.WriteFile(path, out.Bytes(), 0o644); err != nil {
@@ -63,13 +63,13 @@
 	}
 }
 
-func readLaws(path string) (capacity.Laws, error) {
+func readMeasured(path string) (capacity.Measured, error) {
 	file, err := os.Open(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return capacity.Laws{}, nil
+		return capacity.Measured{Laws: capacity.Laws{}}, nil
 	}
 	if err != nil {
-		return nil, err
+		return capacity.Measured{}, err
 	}
 	defer file.Close()
 	return capacity.Read(file)
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -32,10 +32,17 @@
 	lawLeaseBuildTime = "replica.time.lease"
 	lawCommitTime     = "replica.time.commit"
 
+	lawRelayRenewalTime  = "relay.time.renewal_8_limits"
+	lawRelayRenewalBytes = "relay.bytes.renewal_8_limits"
+	lawRelayRequestBytes = "relay.bytes.request"
+
+	lawRelayRequestTime    = "leader.time.relay_request"
+	lawRelayAdoptionMemory = "leader.memory.adoption_relays"
+
 	lawLeaseTime       = "leader.time.lease"
 	lawRenewalTime     = "leader.time.renewal"
 	lawRenewalColdTime = "leader.time.renewal_8_limits"
-	lawRenewalFewTime  = "leader.time.renewal_8_limits_few"
+	lawRenewalFewTime  = "leader.time.renewal_8_limits_relays"
 	lawReportTime      = "leader.time.report"
 	lawHealthTime      = "leader.time.health"
 	lawTickTime        = "leader.time.tick"
@@ -50,19 +57,17 @@
 	lawWorldBytes    = "operator.bytes.world"
 )
 
-// Names of laws of whole processes, by directors. A run of processes gives them; they are added to the file of laws by hand.
+// What laws of whole processes are of; processLaw gives their names. A scale run gives them.
 const (
-	lawProcessDirectorCores  = "process.director.cores"
-	lawProcessDirectorMemory = "process.director.memory"
-	lawProcessDirectorBytes  = "process.director.bytes"
-	lawProcessRelayCores     = "process.relay.cores"    // by directors of one relay
-	lawProcessRelayMemory    = "process.relay.memory"   // by directors of one relay
-	lawProcessReplicaCores   = "process.replica.cores"  // without relays, by all directors
-	lawProcessReplicaMemory  = "process.replica.memory" // without relays, by all directors
-	lawProcessLeaderCores    = "process.leader.cores"
-	lawProcessLeaderMemory   = "process.leader.memory"
-	lawProcessLeaderRelayed  = "process.leader.cores.relays" // with relays, by all directors
-	lawProcessPurgeDelay     = "process.delay.purge"
-	lawProcessPurgeRelayed   = "process.delay.purge.relays"
-	lawProcessChangeDelay    = "process.delay.change"
+	processDirectorCores  = "director.cores"
+	processDirectorMemory = "director.memory"
+	processDirectorBytes  = "director.bytes"
+	processRelayCores     = "relay.cores"  // by directors of one relay
+	processRelayMemory    = "relay.memory" // by directors of one relay
+	processReplicaCores   = "replica.cores"
+	processReplicaMemory  = "replica.memory"
+	processLeaderCores    = "leader.cores"
+	processLeaderMemory   = "leader.memory"
+	processPurgeDelay     = "delay.purge"
+	processChangeDelay    = "delay.change"
 )
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -12,27 +12,27 @@
 	pageFile   = root + "docs/CAPACITY.md"
 )
 
-func load(t *testing.T) (laws Laws, page string) {
+func load(t *testing.T) (measured Measured, page string) {
 	t.Helper()
 	file, err := os.Open(slopesFile)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer file.Close()
-	if laws, err = Read(file); err != nil {
+	if measured, err = Read(file); err != nil {
 		t.Fatal(err)
 	}
 	text, err := os.ReadFile(pageFile)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return laws, string(text)
+	return measured, string(text)
 }
 
 // The page's tables are what the file of laws gives.
 func TestPageIsWhatTheLawsGive(t *testing.T) {
-	laws, page := load(t)
-	want, err := Rewrite(page, Operators(), Current(), laws)
+	measured, page := load(t)
+	want, err := Rewrite(page, Operators(), Current(), measured)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,10 +44,10 @@
 // A figure rests on laws that are there, each with its points and source, or it says which are missing, or that it comes from
 // constants alone. Read has refused laws with fewer than five sizes, without a source, or with other slopes than their points give.
 func TestNoFigureLacksItsPoints(t *testing.T) {
-	laws, _ := load(t)
+	measured, _ := load(t)
 	read := map[string]bool{}
-	for _, f := range Table(Operators(), Current(), laws) {
-		if len(f.Terms) == 0 && len(f.Missing) == 0 && !strings.Contains(f.Mechanism, "no measurement") && f.Unit != Machines {
+	for _, f := range Table(Operators(), Current(), measured) {
+		if len(f.Terms) == 0 && len(f.Missing) == 0 && f.CollapsedAt == 0 && !strings.Contains(f.Mechanism, "no measurement") && f.Unit != Machines {
 			t.Errorf("%s, %s rests on nothing", f.Role, f.Name)
 		}
 		for _, term := range f.Terms {
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	for name := range laws {
+	for name := range measured.Laws {
 		if !read[name] {
 			t.Errorf("no figure reads the law %s", name)
 		}
@@ -67,14 +67,14 @@
 }
 
 func TestRewriteRefusesOtherMarkers(t *testing.T) {
-	laws, page := load(t)
+	measured, page := load(t)
 	for name, changed := range map[string]string{
 		"a part twice": page + "<!-- capacity: size -->\n<!-- capacity end -->",
 		"unknown":      page + "<!-- capacity: nothing -->\n<!-- capacity end -->",
 		"not closed":   page + "<!-- capacity: size -->\n",
 		"none":         "no part",
 	} {
-		if _, err := Rewrite(changed, Operators(), Current(), laws); !errors.Is(err, ErrMarkers) {
+		if _, err := Rewrite(changed, Operators(), Current(), measured); !errors.Is(err, ErrMarkers) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/internal/capacity/rates.go
+++ b/internal/capacity/rates.go
@@ -24,16 +24,20 @@
 	return c.PurgesPerSecond + c.changesPerSecond() + c.membershipPerSecond()
 }
 
-// callsPerSecond are the watch calls of one director. A call ends with the next event or with its patience. Events come at random
-// moments (Poisson), the way to and fro is left out, so it is the most that there can be.
-func (c *calculation) callsPerSecond() float64 {
+// callsPerSecond are the watch calls of one director at a server that gathers events for so long. A call ends with its patience, or
+// with the first event that comes after the gathering. Events come at random moments (Poisson), the way to and fro is left out, so
+// it is the most that there can be.
+func (c *calculation) callsPerSecond(gather time.Duration) float64 {
 	events := c.eventsPerSecond()
-	return events / (1 - math.Exp(-events*c.WatchPatience.Seconds()))
+	patience := c.WatchPatience.Seconds()
+	gathered := min(gather.Seconds(), patience)
+	waited := (math.Exp(-events*gathered) - math.Exp(-events*patience)) / events
+	return 1 / (gathered + waited)
 }
 
 // renewalsPerSecond are the quota renewals of one director at the leader: a replica keeps the last one until its next lease call.
 func (c *calculation) renewalsPerSecond() float64 {
-	return min(c.callsPerSecond(), perSecond(c.LeaseEvery))
+	return min(c.callsPerSecond(0), perSecond(c.LeaseEvery))
 }
 
 // directorsPer is how many directors each of so many servers has.
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -20,10 +20,10 @@
 // ErrMarkers tells that the markers of a page are not those of the parts there are.
 var ErrMarkers = errors.New("the page's markers are not right")
 
-// Rewrite puts the generated parts between a page's markers: size, design, a part for each role, broken, missing and laws. Each part
+// Rewrite puts the generated parts between a page's markers: size, runs, a part for each role, broken, missing and laws. Each part
 // must be there once.
-func Rewrite(page string, size Size, design Design, laws Laws) (string, error) {
-	parts := Parts(size, design, laws)
+func Rewrite(page string, size Size, design Design, measured Measured) (string, error) {
+	parts := Parts(size, design, measured)
 	var out strings.Builder
 	rest := page
 	for {
@@ -49,10 +49,10 @@
 }
 
 // Parts are the generated parts of a page by their names.
-func Parts(size Size, design Design, laws Laws) map[string]string {
-	figures := Table(size, design, laws)
+func Parts(size Size, design Design, measured Measured) map[string]string {
+	figures := Table(size, design, measured)
 	parts := map[string]string{
-		"size": sizeTable(size), "laws": lawTable(laws), "broken": brokenTable(figures), "missing": missingTable(figures),
+		"size": sizeTable(size), "laws": lawTable(measured.Laws), "runs": runTable(measured.Rows), "broken": brokenTable(figures), "missing": missingTable(figures),
 	}
 	for _, role := range Roles {
 		var own []Figure
@@ -130,6 +130,29 @@
 	return table([]string{"what", "the operators' size"}, rows)
 }
 
+// runTable lists the rows of scale runs as they were measured.
+func runTable(measured []Row) string {
+	var rows [][]string
+	for _, r := range measured {
+		relay := "-"
+		if r.Relays > 0 {
+			relay = quantity(r.RelayCores, Cores) + ", " + quantity(r.RelayMemory, Bytes)
+		}
+		held := "yes"
+		if len(r.Collapsed) > 0 {
+			held = "**no**: " + strings.Join(r.Collapsed, ", ")
+		}
+		rows = append(rows, []string{strconv.Itoa(r.Relays), strconv.Itoa(r.ColdCaches), strconv.Itoa(r.Directors),
+			quantity(r.LeaderCores, Cores) + ", " + quantity(r.LeaderMemory, Bytes), quantity(r.ReplicaCores, Cores), relay,
+			quantity(r.DirectorCores, Cores) + ", " + quantity(r.DirectorMemory, Bytes),
+			significant(r.DirectorCalls) + "/s, " + quantity(r.DirectorBytes, BytesPerSecond),
+			quantity(r.PurgeP99, Seconds), quantity(r.PurgeLastP99, Seconds), quantity(r.PurgeLongest, Seconds),
+			held, significant(r.Load), "`" + r.File + "`"})
+	}
+	return table([]string{"relays", "cold caches", "directors", "leader", "a replica that follows", "a relay", "a director", "its watch",
+		"purge, p99", "purge at the last director, p99", "the longest seen", "held", "load", "run"}, rows)
+}
+
 // lawTable lists laws with their points, and after them the commands that gave these, by the numbers in the table.
 func lawTable(laws Laws) string {
 	var rows [][]string
@@ -161,6 +184,9 @@
 	if f.Verdict == NotMeasured {
 		return "not measured"
 	}
+	if f.Verdict == Collapsed && len(f.Terms) == 0 {
+		return "-"
+	}
 	return quantity(f.Value, f.Unit)
 }
 
@@ -175,6 +201,9 @@
 	if f.Verdict == Broken {
 		return "**broken**, " + significant(f.Times()) + " times"
 	}
+	if f.Verdict == Collapsed {
+		return "**collapsed** at " + strconv.Itoa(f.CollapsedAt) + " directors"
+	}
 	return string(f.Verdict)
 }
 
@@ -189,6 +218,9 @@
 		if t.Beyond > 0 {
 			text += fmt.Sprintf(", %s times beyond its points", significant(t.Beyond))
 		}
+		if t.Measured != 0 {
+			text += ", where " + quantity(t.Measured, t.Unit) + " was measured"
+		}
 		if t.Below {
 			text += ", below its points"
 		}
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -68,6 +68,7 @@
 	ReportedCaches int // caches that one health report of a director speaks of
 
 	WatchPatience    time.Duration // of one watch call
+	RelayGather      time.Duration // for which a relay gathers events for a director that was answered a moment ago
 	ReplicaLease     time.Duration // that a replica has of the leader
 	LeaseEvery       time.Duration // from one lease call of a replica to the next
 	HealthEvery      time.Duration // from one health report with evidence to the next, where nothing fails
@@ -89,7 +90,7 @@
 	EventsPerRestart   float64       // membership events for each restart of a machine: it leaves and joins
 }
 
-// Current is the design as the program has it, with the relays that are planned.
+// Current is the design as the program has it, with a relay for each region.
 func Current() Design {
 	return Design{
 		Replicas:       3,
@@ -98,6 +99,7 @@
 		ReportedCaches: 28,
 
 		WatchPatience:      100 * time.Millisecond,
+		RelayGather:        100 * time.Millisecond,
 		ReplicaLease:       200 * time.Millisecond,
 		LeaseEvery:         50 * time.Millisecond,
 		HealthEvery:        500 * time.Millisecond,
@@ -136,7 +138,7 @@
 func (d *Design) fields() map[string]any {
 	return map[string]any{
 		"replicas": &d.Replicas, "relays": &d.Relays, "cold-caches": &d.ColdCaches, "reported-caches": &d.ReportedCaches,
-		"watch-patience": &d.WatchPatience, "lease-every": &d.LeaseEvery, "history-kept": &d.HistoryKept,
+		"watch-patience": &d.WatchPatience, "relay-gather": &d.RelayGather, "lease-every": &d.LeaseEvery, "history-kept": &d.HistoryKept,
 		"adoption-kept": &d.AdoptionKept, "longest-deadline": &d.LongestDeadline,
 	}
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -42,7 +43,9 @@
 	Kept        Verdict = "kept"
 	Broken      Verdict = "broken"
 	NotMeasured Verdict = "not measured"
-	NoBudget    Verdict = "-"
+	// Collapsed: a run of processes collapsed at this size or a smaller one, so that what a law says of it does not count.
+	Collapsed Verdict = "collapsed"
+	NoBudget  Verdict = "-"
 )
 
 // Term is a law as a figure reads it: its value at X, or its slope for one more.
@@ -53,6 +56,9 @@
 	Y      float64 `json:"y"`
 	Beyond float64 `json:"beyond,omitempty"` // X over the largest measured size, where that is more than 1
 	Below  bool    `json:"below,omitempty"`  // X is under the smallest measured size
+	// Measured is what was measured at X itself, where it was, in the law's unit.
+	Measured float64 `json:"measured,omitempty"`
+	Unit     Unit    `json:"unit,omitempty"`
 }
 
 // Figure is what one thing costs one role.
@@ -67,11 +73,13 @@
 	Terms     []Term   `json:"terms,omitempty"`
 	Missing   []string `json:"missing,omitempty"` // laws that are not there
 	Mechanism string   `json:"mechanism"`
+	// CollapsedAt is the fewest directors at which a run collapsed, if the size has as many.
+	CollapsedAt int `json:"collapsed_at,omitempty"`
 }
 
 // Times is the value over its budget; 0 where there is no budget or no value.
 func (f Figure) Times() float64 {
-	if f.Budget == 0 || f.Verdict == NotMeasured {
+	if f.Budget == 0 || f.Verdict == NotMeasured || f.Verdict == Collapsed {
 		return 0
 	}
 	return f.Value / f.Budget
@@ -89,13 +97,18 @@
 	value     func(*calculation) float64
 }
 
+// sameSize is how far a measured size may be from the one that is asked for, as a share, to be the same.
+const sameSize = 0.01
+
 // calculation reads laws for one figure and notes which.
 type calculation struct {
 	Size
 	Design
-	laws    Laws
-	terms   []Term
-	missing []string
+	laws        Laws
+	rows        []Row
+	terms       []Term
+	missing     []string
+	collapsedAt int
 }
 
 // at is a law's value at x.
@@ -106,7 +119,12 @@
 		return 0
 	}
 	smallest, largest := law.Range()
-	term := Term{Law: name, X: x, Y: law.At(x), Below: x < smallest}
+	term := Term{Law: name, X: x, Y: law.At(x), Below: x < smallest, Unit: law.Unit}
+	for _, p := range law.Points {
+		if math.Abs(p.X-x) <= sameSize*x {
+			term.Measured = p.Y
+		}
+	}
 	if x > largest {
 		term.Beyond = x / largest
 	}
@@ -126,18 +144,18 @@
 }
 
 // Table works all figures out.
-func Table(size Size, design Design, laws Laws) []Figure {
+func Table(size Size, design Design, measured Measured) []Figure {
 	var figures []Figure
 	for _, group := range [][]formula{directorFormulas, relayFormulas, replicaFormulas, leaderFormulas, operatorFormulas, failureFormulas} {
 		for _, f := range group {
-			figures = append(figures, f.figure(size, design, laws))
+			figures = append(figures, f.figure(size, design, measured))
 		}
 	}
 	return figures
 }
 
-func (f formula) figure(size Size, design Design, laws Laws) Figure {
-	c := &calculation{Size: size, Design: design, laws: laws}
+func (f formula) figure(size Size, design Design, measured Measured) Figure {
+	c := &calculation{Size: size, Design: design, laws: measured.Laws, rows: measured.Rows}
 	out := Figure{Role: f.role, Name: f.name, Unit: f.unit, Working: f.working, Mechanism: f.mechanism, Verdict: NoBudget}
 	out.Value = f.value(c)
 	out.Terms, out.Missing = c.terms, slices.Compact(slices.Sorted(slices.Values(c.missing)))
@@ -145,6 +163,8 @@
 		out.Budget = f.budget(size, design)
 	}
 	switch {
+	case c.collapsedAt > 0:
+		out.Missing, out.Verdict, out.CollapsedAt = nil, Collapsed, c.collapsedAt
 	case len(out.Missing) > 0:
 		out.Value, out.Verdict = 0, NotMeasured
 	case f.budget == nil:
