Say how fast a scale run's directors joined, and let a run that held overrule one that fell

Cause: a run of 2,000 hollow directors that came at 400 a second collapsed while they joined; a slower one may hold with more.

Change: rows carry the joins a second; a figure says that a run collapsed only where none held with as many directors.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -93,6 +93,13 @@
 	if f := find(large, Laws{law.Name: law}, fell); f.Verdict != Collapsed || f.CollapsedAt != 600 || f.Times() != 0 {
 		t.Errorf("1,000 directors, where 600 collapsed: %+v", f)
 	}
+	held := Row{Directors: 1002}
+	if f := find(large, Laws{law.Name: law}, fell, held); f.Verdict != Broken {
+		t.Errorf("1,000 directors, where 1,002 held: %+v", f)
+	}
+	if held.Directors = 900; find(large, Laws{law.Name: law}, held, fell).Verdict != Collapsed {
+		t.Error("1,000 directors, where 600 collapsed and 900 held")
+	}
 	relayed, cold := fell, fell
 	relayed.Relays, cold.ColdCaches = 9, 8
 	if f := find(large, Laws{law.Name: law}, relayed, cold); f.Verdict != Broken {
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -142,14 +142,14 @@
 		if len(r.Collapsed) > 0 {
 			held = "**no**: " + strings.Join(r.Collapsed, ", ")
 		}
-		rows = append(rows, []string{strconv.Itoa(r.Relays), strconv.Itoa(r.ColdCaches), strconv.Itoa(r.Directors),
+		rows = append(rows, []string{strconv.Itoa(r.Relays), strconv.Itoa(r.ColdCaches), strconv.Itoa(r.Directors), strconv.Itoa(r.JoinsPerSecond) + "/s",
 			quantity(r.LeaderCores, Cores) + ", " + quantity(r.LeaderMemory, Bytes), quantity(r.ReplicaCores, Cores), relay,
 			quantity(r.DirectorCores, Cores) + ", " + quantity(r.DirectorMemory, Bytes),
 			significant(r.DirectorCalls) + "/s, " + quantity(r.DirectorBytes, BytesPerSecond),
 			quantity(r.PurgeP99, Seconds), quantity(r.PurgeLastP99, Seconds), quantity(r.PurgeLongest, Seconds),
 			held, significant(r.Load), "`" + r.File + "`"})
 	}
-	return table([]string{"relays", "cold caches", "directors", "leader", "a replica that follows", "a relay", "a director", "its watch",
+	return table([]string{"relays", "cold caches", "directors", "joining", "leader", "a replica that follows", "a relay", "a director", "its watch",
 		"purge, p99", "purge at the last director, p99", "the longest seen", "held", "load", "run"}, rows)
 }
 
--- a/internal/capacity/scalerun.go
+++ b/internal/capacity/scalerun.go
@@ -20,6 +20,7 @@
 	Relays         int       `json:"relays"`
 	ColdCaches     int       `json:"cold_caches"`
 	Directors      int       `json:"directors"`
+	JoinsPerSecond int       `json:"joins_per_second"` // hollow directors that begin to watch
 	LeaderCores    float64   `json:"leader_cores"`
 	LeaderMemory   float64   `json:"leader_memory"` // bytes
 	ReplicaCores   float64   `json:"replica_cores"`
@@ -44,6 +45,8 @@
 		Replicas   int    `json:"replicas"`
 		Relays     int    `json:"relays"`
 		ColdCaches int    `json:"cold_caches"`
+		Processes  int    `json:"processes"`        // of hollow directors
+		Starts     int    `json:"start_per_second"` // in each
 		Fault      string `json:"fault"`
 	} `json:"settings"`
 	Cores int `json:"cores"`
@@ -89,7 +92,8 @@
 	for _, from := range run.Rows {
 		row := Row{File: file, At: from.Began.UTC().Truncate(time.Second), Cores: run.Cores, Load: from.LoadAverage[1],
 			Replicas: run.Settings.Replicas, Relays: run.Settings.Relays, ColdCaches: run.Settings.ColdCaches,
-			Directors: from.Hollow + from.Real, DirectorBytes: from.Up + from.Down, DirectorCalls: from.Calls,
+			JoinsPerSecond: run.Settings.Processes * run.Settings.Starts,
+			Directors:      from.Hollow + from.Real, DirectorBytes: from.Up + from.Down, DirectorCalls: from.Calls,
 			PurgeP99: from.Delay.P99 / 1000, PurgeLastP99: from.Last.P99 / 1000, PurgeLongest: from.Last.Max / 1000,
 			PurgesMissing: from.Missing, Changes: from.Changes, Collapsed: from.Collapsed}
 		for _, use := range from.Roles {
--- a/internal/capacity/serving.go
+++ b/internal/capacity/serving.go
@@ -40,13 +40,22 @@
 	return c.callsPerSecond(gather)
 }
 
-// noteCollapse notes the fewest directors at which a run of this case collapsed, if there are as many.
+// noteCollapse notes the fewest directors at which a run of this case collapsed, if there are as many and no run held with as many.
 func (c *calculation) noteCollapse(s serving) {
+	fewest := 0
 	for _, row := range c.rows {
-		same := row.ColdCaches == c.coldCaches(s) && (row.Relays > 0) == s.relayed
-		if same && len(row.Collapsed) > 0 && row.Directors <= c.Directors && (c.collapsedAt == 0 || row.Directors < c.collapsedAt) {
-			c.collapsedAt = row.Directors
+		if row.ColdCaches != c.coldCaches(s) || (row.Relays > 0) != s.relayed {
+			continue
 		}
+		if len(row.Collapsed) == 0 && row.Directors >= c.Directors {
+			return
+		}
+		if len(row.Collapsed) > 0 && row.Directors <= c.Directors && (fewest == 0 || row.Directors < fewest) {
+			fewest = row.Directors
+		}
+	}
+	if fewest > 0 {
+		c.collapsedAt = fewest
 	}
 }
 
