--- a/internal/capacity/law.go
+++ b/internal/capacity/law.go
@@ -190,7 +190,7 @@
 	return encoder.Encode(document{Laws: m.Laws.Sorted(), Rows: m.Rows})
 }
 
-// AddRows takes the rows of a scale run in, with their laws, in place of those of the same file or name.
+// AddRows takes the rows of a scale run in, in place of those of the same file, and fits the laws of all rows of its layout anew.
 func (m *Measured) AddRows(rows []Row) {
 	if len(rows) == 0 {
 		return
@@ -198,7 +198,10 @@
 	m.Rows = slices.DeleteFunc(slices.Clone(m.Rows), func(r Row) bool { return r.File == rows[0].File })
 	m.Rows = append(m.Rows, rows...)
 	slices.SortStableFunc(m.Rows, func(a, b Row) int { return cmp.Compare(a.File, b.File) })
-	maps.Copy(m.Laws, ProcessLaws(rows))
+	same := slices.DeleteFunc(slices.Clone(m.Rows), func(r Row) bool {
+		return r.Replicas != rows[0].Replicas || r.Relays != rows[0].Relays || r.ColdCaches != rows[0].ColdCaches
+	})
+	maps.Copy(m.Laws, ProcessLaws(same))
 }
 
 // Sorted are the laws in the order of their names.
--- a/internal/capacity/scalerun.go
+++ b/internal/capacity/scalerun.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -153,34 +155,29 @@
 	{processRelayMemory, "a relay's resident memory", Bytes, true, func(r Row) float64 { return r.RelayMemory }},
 }
 
-// ProcessLaws fits the laws of the rows of one run. Rows of sizes that collapsed do not count; with fewer than MinPoints others there
-// are no laws.
+// ProcessLaws fits the laws of rows of one layout, of one run or several. Rows of sizes that collapsed do not count; with fewer than
+// MinPoints other sizes there are no laws.
 func ProcessLaws(rows []Row) Laws {
+	held := slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return len(r.Collapsed) > 0 })
 	laws := Laws{}
-	if len(rows) == 0 {
+	if len(held) == 0 {
 		return laws
 	}
-	first := rows[0]
+	first := held[0]
 	relayed := first.Relays > 0
-	source := Source{Command: "stairvane scale, saved as docs/design/capacity-runs/" + first.File, At: first.At}
+	source := sourceOf(held)
 	for _, m := range processMeasures {
 		if m.perRelay && !relayed {
 			continue
 		}
-		var points []Point
 		xUnit, servers := "director", 1.0
 		if m.perRelay {
 			xUnit, servers = "director of a relay", float64(first.Relays)
 		}
-		loads := ""
-		for _, row := range rows {
-			if len(row.Collapsed) > 0 {
-				continue
-			}
+		var points []Point
+		for _, row := range held {
 			points = append(points, Point{X: float64(row.Directors) / servers, Y: m.value(row)})
-			loads += " " + significant(row.Load)
 		}
-		source.Machine = fmt.Sprintf("%d cores, load%s", first.Cores, loads)
 		about := fmt.Sprintf("%s, %d replicas, %d relays, %d cold caches", m.about, first.Replicas, first.Relays, first.ColdCaches)
 		law, err := NewLaw(processLaw(m.what, relayed, first.ColdCaches), about, xUnit, m.unit, points, source)
 		if err == nil {
@@ -189,3 +186,17 @@
 	}
 	return laws
 }
+
+// sourceOf names the runs of rows, with the load at each row.
+func sourceOf(rows []Row) Source {
+	var files []string
+	loads := ""
+	for _, row := range rows {
+		if !slices.Contains(files, row.File) {
+			files = append(files, row.File)
+		}
+		loads += " " + significant(row.Load)
+	}
+	return Source{Command: "stairvane scale, saved in docs/design/capacity-runs as " + strings.Join(files, ", "), At: rows[0].At,
+		Machine: fmt.Sprintf("%d cores, load%s", rows[0].Cores, loads)}
+}
--- a/internal/capacity/scalerun_test.go
+++ b/internal/capacity/scalerun_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -46,6 +47,19 @@
 	if again, err := Read(&text); err != nil || len(again.Rows) != 7 || len(again.Laws) != len(measured.Laws) {
 		t.Errorf("%+v, %v", again, err)
 	}
+	halves := Measured{Laws: Laws{}}
+	second := slices.Clone(rows[3:])
+	for i := range second {
+		second[i].File = "second.json"
+	}
+	halves.AddRows(rows[:3])
+	if len(halves.Laws) != 0 {
+		t.Errorf("three sizes held, and there are laws: %+v", halves.Laws)
+	}
+	halves.AddRows(second)
+	if law := halves.Laws[leader.Name]; len(law.Points) != 5 || !strings.HasSuffix(law.Source.Command, "run.json, second.json") {
+		t.Errorf("five sizes of two runs: %+v", law)
+	}
 	if few := ProcessLaws(append(rows[:4:4], rows[5])); len(few) != 0 {
 		t.Errorf("four sizes held, and there are laws: %+v", few)
 	}
