Show scale runs with a fault, and sizes measured without a law

Cause: the runs that killed a relay and the leader at the operators' own size were refused, and a size that was measured by itself counted for nothing without five others.

Change: rows carry the fault and the time until all directors watched again, and make no laws; a figure without a law gives the row that was measured at its size, if there is one.

--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -52,6 +53,9 @@
 		}
 		for _, term := range f.Terms {
 			read[term.Law] = true
+			if at := slices.IndexFunc(measured.Rows, func(r Row) bool { return r.File == term.Row && float64(r.Directors) == term.X }); term.Law == "" && at < 0 {
+				t.Errorf("%s, %s rests on a row that is not there: %+v", f.Role, f.Name, term)
+			}
 		}
 		for _, name := range f.Missing {
 			if !strings.HasPrefix(name, "process.") {
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -138,12 +138,22 @@
 		if r.Relays > 0 {
 			relay = quantity(r.RelayCores, Cores) + ", " + quantity(r.RelayMemory, Bytes)
 		}
+		leader := quantity(r.LeaderCores, Cores) + ", " + quantity(r.LeaderMemory, Bytes)
+		if r.LeaderMemory == 0 {
+			leader = "it ended"
+		}
 		held := "yes"
 		if len(r.Collapsed) > 0 {
 			held = "**no**: " + strings.Join(r.Collapsed, ", ")
 		}
+		if r.Fault != "" {
+			held += "; with the fault " + r.Fault
+		}
+		if r.Fault != "" && r.Recovery > 0 {
+			held += ", after which all watched again in " + quantity(r.Recovery, Seconds)
+		}
 		rows = append(rows, []string{strconv.Itoa(r.Relays), strconv.Itoa(r.ColdCaches), strconv.Itoa(r.Directors), strconv.Itoa(r.JoinsPerSecond) + "/s",
-			quantity(r.LeaderCores, Cores) + ", " + quantity(r.LeaderMemory, Bytes), quantity(r.ReplicaCores, Cores), relay,
+			leader, quantity(r.ReplicaCores, Cores), relay,
 			quantity(r.DirectorCores, Cores) + ", " + quantity(r.DirectorMemory, Bytes),
 			significant(r.DirectorCalls) + "/s, " + quantity(r.DirectorBytes, BytesPerSecond),
 			quantity(r.PurgeP99, Seconds), quantity(r.PurgeLastP99, Seconds), quantity(r.PurgeLongest, Seconds),
@@ -212,6 +222,10 @@
 	var out []string
 	for _, t := range f.Terms {
 		text := fmt.Sprintf("`%s`(%s)", t.Law, significant(t.X))
+		if t.Row != "" {
+			out = append(out, fmt.Sprintf("no law; as measured at %s directors in `%s`", significant(t.X), t.Row))
+			continue
+		}
 		if t.Slope {
 			text = fmt.Sprintf("`%s`, slope", t.Law)
 		}
@@ -229,6 +243,9 @@
 	for _, name := range f.Missing {
 		out = append(out, "`"+name+"` (missing)")
 	}
+	if len(out) == 0 && f.Verdict == Collapsed {
+		return "none: too few sizes held"
+	}
 	if len(out) == 0 {
 		return "none: constants"
 	}
--- a/internal/capacity/serving.go
+++ b/internal/capacity/serving.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // serving is how directors are served, and how much they want: two sets of figures stand beside each other for most things.
 type serving struct {
@@ -44,7 +47,7 @@
 func (c *calculation) noteCollapse(s serving) {
 	fewest := 0
 	for _, row := range c.rows {
-		if row.ColdCaches != c.coldCaches(s) || (row.Relays > 0) != s.relayed {
+		if !c.of(row, s) {
 			continue
 		}
 		if len(row.Collapsed) == 0 && row.Directors >= c.Directors {
@@ -59,10 +62,38 @@
 	}
 }
 
-// process is what a law of whole processes gives for so many directors.
+// of tells whether a row is of this case, without a fault.
+func (c *calculation) of(row Row, s serving) bool {
+	return row.ColdCaches == c.coldCaches(s) && (row.Relays > 0) == s.relayed && row.Fault == ""
+}
+
+// process is what a law of whole processes gives for so many directors; where there is none, what was measured at the size itself.
 func (c *calculation) process(what string, s serving, directors float64) float64 {
 	c.noteCollapse(s)
-	return c.at(processLaw(what, s.relayed, c.coldCaches(s)), directors)
+	name := processLaw(what, s.relayed, c.coldCaches(s))
+	if _, known := c.laws[name]; known {
+		return c.at(name, directors)
+	}
+	for _, row := range c.rows {
+		if !c.of(row, s) || len(row.Collapsed) > 0 || !c.sameLayout(row, s) {
+			continue
+		}
+		for _, m := range processMeasures {
+			if m.what == what {
+				value := m.value(row)
+				c.terms = append(c.terms, Term{Row: row.File, X: float64(row.Directors), Y: value, Measured: value, Unit: m.unit})
+				return value
+			}
+		}
+	}
+	return c.at(name, directors)
+}
+
+// sameLayout tells whether a row is of the size and the layout that are asked for.
+func (c *calculation) sameLayout(row Row, s serving) bool {
+	size := float64(c.Directors)
+	relays := !s.relayed || row.Relays == c.Relays
+	return relays && row.Replicas == c.Replicas && math.Abs(float64(row.Directors)-size) <= sameSize*size
 }
 
 // forServings makes a formula for each of several cases, with the case in its name.
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -48,9 +48,10 @@
 	NoBudget  Verdict = "-"
 )
 
-// Term is a law as a figure reads it: its value at X, or its slope for one more.
+// Term is a law as a figure reads it: its value at X, or its slope for one more. Where there is no law, it is a row of a scale run.
 type Term struct {
-	Law    string  `json:"law"`
+	Law    string  `json:"law,omitempty"`
+	Row    string  `json:"row,omitempty"` // the run's file
 	X      float64 `json:"x,omitempty"`
 	Slope  bool    `json:"slope,omitempty"`
 	Y      float64 `json:"y"`
