Review: let the stand-ins keep the scale, the pace and the fields of the pages

Cause: the caches answered at once and without load reports, with one tag for all objects, and `mem` did not follow the bytes.

Change: an answer takes its transfer's time at flow_bytes_per_s and carries the fields of a report; `mem` is in proportion; undo is heeded; what is not kept needs a source. The records list each request.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -14,6 +14,7 @@
 	rm -rf "$dir"
 }
 trap cleanup EXIT
+trap 'exit 2' INT TERM
 : >"$record" || exit 2
 [ -x bin/stairvane ] && [ -x "$standin" ] || { echo "not built" >>"$record"; exit 2; }
 rate=1000000
@@ -29,9 +30,9 @@
 host() { printf '{"host":"%s","dial":"127.0.0.1:%s","site":"%s","class":"%s","block":%s,"health":"in_service","share":%s,"born_ms":0}' "$@"; }
 cat >"$dir/config.json" <<JSON
 {"name":"n1","listen":"127.0.0.1:${port[4]}","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":512},
- "bulletin":"127.0.0.1:${port[3]}","flow_bytes_per_s":5500000,"link_bytes_per_s":100000000,
+ "bulletin":"127.0.0.1:${port[3]}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
  "known":{"no":1,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[
-  $(host s-00000001 "${port[0]}" edge-1 small-box 2 40),$(host s-00000002 "${port[1]}" edge-1 small-box 2 40),
+  $(host s-00000001 "${port[0]}" edge-1 small-box 2 60),$(host s-00000002 "${port[1]}" edge-1 small-box 2 60),
   $(host s-0000000a "${port[2]}" north origin 0 60)]}}]},
  "settings":{"Areas":["north","south","edge-1","edge-2"],"Zone":"edge-1","Models":["small-box","parent","origin"],"Balancers":1,"SlotNo":0,
   "Stage":0,"Tiers":["depot-cache"],"Family":"edge","MembershipMode":"automatic","Weights":"nominal","WorthBy":"request","Quantum":2.0,
@@ -48,15 +49,17 @@
   "Report":{"How":"inline","Fields":["cpu_share","busy_reqs","x1","x0"]},
   "Rules":{"AskWithin":10000.0,"Cold":16000.0,"ColdFrom":0.17,"DrainGrace":500.0,"Fall":3000.0,"GraceToAnswer":8.0,"TipMultiple":4.0}}}
 JSON
+echo "run: $(sed -n 's/^run = //p' deploy/balancer.toml), with the configuration" >>"$record"
+cat "$dir/config.json" >>"$record"
 LB_CONFIG=$dir/config.json /bin/sh -c "exec bin/stairvane" 2>"$dir/director.log" &
 pids+=($!)
 director=$!
 "$standin" ready --director "127.0.0.1:${port[4]}" || exit 2
-"$standin" slow --director "127.0.0.1:${port[4]}" --rate "$rate" --clients 10 --fast 10 --open 30 --per-second 170 --budget 6s --length 25s \
+"$standin" slow --director "127.0.0.1:${port[4]}" --rate "$rate" --clients 10 --fast 10 --open 32 --least 120000 --most 240000 --per-second 170 --budget 6s --length 25s \
 	--record "$record"
 result=$?
 kill -USR1 "$director" 2>/dev/null || { echo "the director has ended" >>"$record"; result=1; }
 sleep 0.3
 { echo; echo "the director's log:"; tail -40 "$dir/director.log"; } >>"$record"
-grep VmHWM /proc/$director/status >> "$record"
+grep VmHWM "/proc/$director/status" >>"$record"
 exit $result
--- a/review/standin/cache.go
+++ b/review/standin/cache.go
@@ -65,14 +65,26 @@
 	return strings.Repeat(text, size/len(text)+1)[:size]
 }
 
-// cache is a cache that has every object: it answers each request at once.
+// The scale of the sizes: one transfer runs at flowBytes a second, which stands for flowKB as the simulator counts.
+const (
+	flowBytes = 310_000
+	flowKB    = 5500
+)
+
+// memOf returns the size of a part as requests tell it, in KB as the simulator counts it.
+func memOf(bytes int) string { return strconv.FormatFloat(float64(bytes)*flowKB/flowBytes, 'f', 1, 64) }
+
+// cache is a cache that has every object, and passes requests that are not kept on to the source that they name. An answer takes the
+// time of its transfer and is then written whole.
 type cache struct {
 	least, most int
 	spoil       int // of the good answers every so many'th arrives spoilt; 0: none
 	out         *os.File
+	since       int64 // Unix milliseconds at which the origin gave out the copies
 
 	mu      sync.Mutex
 	answers int
+	open    int
 }
 
 func runCache(args []string) error {
@@ -92,6 +104,7 @@
 			return err
 		}
 	}
+	c.since = time.Now().UnixMilli()
 	l, err := net.Listen("tcp", *listen)
 	if err != nil {
 		return err
@@ -105,8 +118,40 @@
 	}
 }
 
+// cacheConn is a connection of a cache, with the requests that are open on it.
+type cacheConn struct {
+	net.Conn
+	mu   sync.Mutex // held while an answer is written
+	open map[string]*time.Timer
+}
+
+func (c *cacheConn) write(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.Write(b) // an error shows when the connection is read
+}
+
+// giveUp ends a request without an answer, and reports whether it was open.
+func (c *cacheConn) giveUp(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timer := c.open[id]
+	delete(c.open, id)
+	return timer != nil && timer.Stop()
+}
+
 func (c *cache) serve(conn net.Conn) {
+	k := &cacheConn{Conn: conn, open: map[string]*time.Timer{}}
 	defer conn.Close()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for _, timer := range k.open {
+			if timer.Stop() {
+				c.count(-1)
+			}
+		}
+	}()
 	r := bufio.NewReader(conn)
 	for {
 		words, err := readWords(r)
@@ -115,25 +160,56 @@
 		}
 		switch {
 		case words[0] == "do" && len(words) == 4:
-			_, err = conn.Write(c.answer(words[1], words[2]))
+			c.start(k, words[1], words[2])
+		case words[0] == "undo":
+			if k.giveUp(words[1]) {
+				c.count(-1)
+			}
 		case words[0] == "ping":
-			_, err = conn.Write(appendWords(nil, words[1], "UP"))
-		}
-		if err != nil {
-			return
+			k.write(appendWords(nil, words[1], "UP"))
 		}
 	}
 }
 
-// answer returns the answer to a request. A spoilt one has all its words, and an array length that is one too small.
-func (c *cache) answer(id, fields string) []byte {
+func (c *cache) count(change int) (open int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open += change
+	return c.open
+}
+
+// start begins a request, whose answer is due when its transfer is over.
+func (c *cache) start(k *cacheConn, id, fields string) {
 	named := map[string]string{}
 	for _, field := range strings.Split(fields, ",") {
 		name, value, _ := strings.Cut(field, "=")
 		named[name] = value
 	}
-	head := fmt.Sprintf("n=local,rev=4be0c1927d55a6f3,since=%d", time.Now().UnixMilli())
-	out := appendWords(nil, id, "OK", head, partOf(named["asset"], named["slice"], c.least, c.most))
+	isReport := named["sort"] == "stock-report"
+	if isReport && named["up"] == "" {
+		k.write(appendWords(nil, id, "MISS", "-", ""))
+		return
+	}
+	body := partOf(named["asset"], named["slice"], c.least, c.most)
+	load := fmt.Sprintf("busy_reqs:%d;cpu_share:0.3;x1:0.1;x0:0.9", c.count(1))
+	head := fmt.Sprintf("n=local,rev=%s,since=%d,l=%s", named["asset"], c.since, load)
+	if isReport {
+		head = fmt.Sprintf("n=pulled,rev=%s,since=%d,l=%s", named["asset"], time.Now().UnixMilli(), load)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.open[id] = time.AfterFunc(time.Duration(len(body))*time.Second/flowBytes, func() {
+		c.count(-1)
+		k.mu.Lock()
+		delete(k.open, id)
+		k.mu.Unlock()
+		k.write(c.answer(id, named, head, body))
+	})
+}
+
+// answer returns a good answer. A spoilt one has all its words, and an array length that is one too small.
+func (c *cache) answer(id string, named map[string]string, head, body string) []byte {
+	out := appendWords(nil, id, "OK", head, body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answers++
--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -101,7 +101,8 @@
 	c.seq++
 	r := checkedRequest{fmt.Sprintf("%016x", rand.Uint64()), class, fmt.Sprintf("%016x", rand.Uint64()), time.Now()}
 	budget, group := "6000", fmt.Sprint(rand.IntN(256))
-	fields := []string{"method", class, "rid", r.id, "obj", r.object, "part", "0", "group", group, "mem", "40.0"}
+	fields := []string{"method", class, "rid", r.id, "obj", r.object, "part", "0", "group", group,
+		"mem", memOf(len(partOf(r.object, "0", c.checker.least, c.checker.most)))}
 	if class == "stock-report" {
 		budget = "3000"
 		fields = append(fields, "token", fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64()))
@@ -153,12 +154,15 @@
 		k.again++
 	case answer.word == "refused":
 		k.refused++
+		k.note(r, "refused")
 	case answer.word == "failed":
 		k.failed++
+		k.note(r, "failed")
 	default:
 		body := answerBody(b)
 		if body == partOf(r.object, "0", k.least, k.most) {
 			k.served++
+			k.note(r, fmt.Sprintf("served, %d bytes", len(body)))
 			return
 		}
 		k.wrong++
@@ -170,6 +174,12 @@
 	}
 }
 
+// note records the end of a request.
+func (k *checker) note(r checkedRequest, end string) {
+	fmt.Fprintf(k.out, "client: %s (%s, object %s) %s after %.1f ms\n", r.id, r.class, r.object, end,
+		float64(time.Since(r.at).Microseconds())/1000)
+}
+
 // answerBody returns the body of a served answer.
 func answerBody(b []byte) string {
 	at := 8 + int(binary.BigEndian.Uint32(b[4:])) + 4 // behind the name and the number
--- a/review/standin/slow.go
+++ b/review/standin/slow.go
@@ -20,6 +20,8 @@
 	fast     int // further clients, which read as fast as they can
 	rate     int // bytes a second that a client reads; 0: as fast as it can
 	open     int // requests that a client has open at most
+	least    int // bytes of the smallest object's part
+	most     int // bytes of the largest object's part
 	perS     int // requests a second of all clients together
 	budget   time.Duration
 	length   time.Duration
@@ -53,6 +55,8 @@
 	set.IntVar(&s.fast, "fast", 0, "number of further clients that read as fast as they can")
 	set.IntVar(&s.rate, "rate", 0, "bytes a second that a client reads; 0: as fast as it can")
 	set.IntVar(&s.open, "open", 32, "requests that a client has open at most")
+	set.IntVar(&s.least, "least", 1000, "bytes of the smallest object's part")
+	set.IntVar(&s.most, "most", 1000, "bytes of the largest object's part")
 	set.IntVar(&s.perS, "per-second", 170, "requests a second of all clients together")
 	set.DurationVar(&s.budget, "budget", 6*time.Second, "how long a client waits")
 	set.DurationVar(&s.length, "length", 10*time.Second, "for how long requests are sent")
@@ -175,9 +179,10 @@
 		return false
 	}
 	c.seq++
-	_, err := c.conn.Write(submitFrame(c.seq, "method", "clips", "rid", fmt.Sprintf("%016x", rand.Uint64()),
-		"budget", fmt.Sprint(c.settings.budget.Milliseconds()), "obj", fmt.Sprintf("%016x", rand.Uint64()), "part", "0",
-		"group", fmt.Sprint(rand.IntN(256)), "mem", "412.5"))
+	id, object := fmt.Sprintf("%016x", rand.Uint64()), fmt.Sprintf("%016x", rand.Uint64())
+	_, err := c.conn.Write(submitFrame(c.seq, "method", "clips", "rid", id,
+		"budget", fmt.Sprint(c.settings.budget.Milliseconds()), "obj", object, "part", "0", "group", fmt.Sprint(rand.IntN(256)),
+		"mem", memOf(len(partOf(object, "0", c.settings.least, c.settings.most)))))
 	if err != nil {
 		return false // the reader sees the end of the connection
 	}
@@ -258,9 +263,11 @@
 		return b, false
 	}
 	c.part = 0
-	if _, open := c.open[head.seq]; open {
+	if sentAt, open := c.open[head.seq]; open {
 		delete(c.open, head.seq)
 		c.tally.mu.Lock()
+		c.tally.logf("client %d: request %d %s, %d bytes in its frame, after %.2f s", c.number, head.seq, head.word, size,
+			time.Since(sentAt).Seconds())
 		switch head.word {
 		case "served":
 			c.tally.served++
@@ -291,6 +298,7 @@
 		case age < crossing:
 			t.crossed++
 		default:
+			t.logf("client %d: request %d lost, %.2f s after it was sent", c.number, seq, age.Seconds())
 			lost++
 			oldest = max(oldest, age)
 		}
