Log why a client's connection was closed with unread answers

Three rules log that event (no reading for 10 s, a total of unread bytes, a flood of calls), and the line did not tell them apart, nor whether the client read.

--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -28,6 +28,7 @@
 	openedAt   time.Duration
 	inFlight   map[int32]*routing.Request // by sequence number
 	shedInARow int
+	delivery   delivery
 	ended      bool          // closed by either side: no more calls are accepted
 	endedAt    time.Duration // when the frontend closed it
 }
@@ -90,9 +91,22 @@
 	return true
 }
 
-func (c *clientConn) closeStuck() {
-	c.frontend.Counters.Stuck++
-	slog.Warn("client.stuck", "queued_bytes", c.conn.Queued(), "open", len(c.inFlight))
+// stuckReason tells why a connection was closed with unread answers. Its values are those of the attribute reason in the log.
+type stuckReason string
+
+const (
+	stuckUnread stuckReason = "unread" // the client took nothing for stuckTimeout
+	stuckMemory stuckReason = "memory" // the unread answers of all clients exceeded their limit
+	stuckFlood  stuckReason = "flood"  // the client sent maxShedInARow calls while it left its answers unread
+)
+
+// closeStuck closes the connection at once. Everything that is queued or in flight on it is lost.
+func (c *clientConn) closeStuck(reason stuckReason) {
+	f := c.frontend
+	f.Counters.Stuck++
+	c.delivery.check(c.conn.Delivered(), f.loop.Now())
+	slog.Warn("client.stuck", "reason", reason, "queued_bytes", c.conn.Queued(), "open", len(c.inFlight),
+		"unread_ms", c.delivery.stalledFor(f.loop.Now()).Milliseconds(), "queued_by_all", f.loop.Queued())
 	c.conn.Close()
 	c.remove()
 }
@@ -221,7 +235,7 @@
 	c.frontend.Counters.Shed++
 	c.shedInARow++
 	if c.shedInARow > maxShedInARow {
-		c.closeStuck()
+		c.closeStuck(stuckFlood)
 		return
 	}
 	c.conn.Write(thrift.AppendRejected(nil, call.SequenceNumber))
--- a/internal/director/frontend.go
+++ b/internal/director/frontend.go
@@ -174,9 +174,12 @@
 
 func (f *frontend) sweepClient(c *clientConn, now time.Duration) {
 	unused := now - c.conn.LastUse()
+	if c.conn.Queued() > 0 {
+		c.delivery.check(c.conn.Delivered(), now)
+	}
 	switch {
 	case c.conn.Queued() > 0 && unused >= f.stuckTimeout:
-		c.closeStuck()
+		c.closeStuck(stuckUnread)
 	case c.ended: // lingering; the transport enforces lingerTimeout
 	case len(c.inFlight) == 0 && !c.conn.HasSent() && now-c.openedAt >= f.firstAnswerTimeout:
 		if c.closeIfUnused() {
@@ -200,7 +203,7 @@
 		if worst == nil || worst.conn.Queued() == 0 {
 			return
 		}
-		worst.closeStuck()
+		worst.closeStuck(stuckMemory)
 	}
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -50,6 +50,7 @@
 	output       [][]byte
 	outputOffset int // number of bytes of output[0] that were written
 	outputBytes  int
+	sentBytes    int64 // bytes that the kernel has accepted
 	hasSent      bool
 }
 
@@ -123,6 +124,21 @@
 // Queued returns the number of written bytes that the kernel has not accepted yet.
 func (c *Conn) Queued() int { return c.outputBytes }
 
+// Delivered returns the number of written bytes that the peer's kernel has acknowledged. If the kernel does not tell, all bytes
+// that it has accepted count as delivered.
+func (c *Conn) Delivered() int64 { return c.sentBytes - c.unacknowledged() }
+
+func (c *Conn) unacknowledged() int64 {
+	if c.closed {
+		return 0
+	}
+	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return int64(n)
+}
+
 // IncompleteInput returns the number of received bytes that belong to an incomplete message.
 func (c *Conn) IncompleteInput() int { return len(c.input) }
 
--- a/internal/transport/conn_io.go
+++ b/internal/transport/conn_io.go
@@ -41,6 +41,7 @@
 		return 0
 	}
 	c.lastUse = c.loop.now
+	c.sentBytes += int64(n)
 	return n
 }
 
@@ -80,6 +81,7 @@
 
 // dequeue removes n written bytes from the first buffer of the output.
 func (c *Conn) dequeue(n int) {
+	c.sentBytes += int64(n)
 	c.outputBytes -= n
 	c.loop.queuedBytes -= n
 	c.outputOffset += n
