Log the length of the last message before a cache's malformed one

The line did not tell whether the message before was taken with too few words, or the bytes were lost otherwise. Change: connection.malformed has last_words, the number of words in the last message taken on the connection.

--- a/internal/director/cache_conn.go
+++ b/internal/director/cache_conn.go
@@ -39,6 +39,8 @@
 	conn    *transport.Conn
 	handler routing.ConnHandler
 	address string
+
+	lastWords int // number of words in the last message that was accepted
 }
 
 // Opened implements transport.Handler.
@@ -97,6 +99,7 @@
 			return used, need, nil
 		}
 		used += n
+		c.lastWords = len(words)
 		if len(words) >= 2 && string(words[1]) == pong {
 			c.handler.Pong(words[0])
 			continue
@@ -111,5 +114,5 @@
 }
 
 func (c *cacheConn) logMalformed(err error) {
-	slog.Warn("connection.malformed", "addr", c.address, "err", err)
+	slog.Warn("connection.malformed", "addr", c.address, "err", err, "last_words", c.lastWords)
 }
