Bound the replies to calls that need no cache when a client does not read

Cause: replies to heartbeats, unknown methods, malformed and surplus calls were written without looking at any limit; a client that sent them and did not read filled the queue, and as one that sends it never met the timeout of unread answers. A reply to a malformed request quoted the value whole.

--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -188,7 +188,7 @@
 		c.answerHeartbeat(call)
 	default:
 		if !call.Oneway {
-			c.write(thrift.AppendException(nil, call.Name, call.SequenceNumber, thrift.UnknownMethod, "no such method"))
+			c.reply(thrift.AppendException(nil, call.Name, call.SequenceNumber, thrift.UnknownMethod, "no such method"))
 		}
 	}
 	return nil
@@ -199,7 +199,7 @@
 	f.Counters.Heartbeats++
 	good := !f.draining && f.director.HasReadyCache() && (f.isHealthy == nil || f.isHealthy())
 	f.head, f.tail = thrift.AppendAnswer(f.head[:0], f.tail[:0], thrift.Heartbeat, call.SequenceNumber, 0, good)
-	c.write(f.head, f.tail)
+	c.reply(f.head, f.tail)
 }
 
 func (c *clientConn) submit(call *thrift.Call) error {
@@ -215,14 +215,14 @@
 	// Excess requests are rejected individually instead of closing the connection, which has other requests in flight.
 	if len(c.inFlight) >= maxClientStreams || f.bodyBytes+len(call.Body) > f.maxBodyBytes {
 		f.Counters.Unserved++
-		c.write(thrift.AppendRejected(nil, call.SequenceNumber))
+		c.reply(thrift.AppendRejected(nil, call.SequenceNumber))
 		return nil
 	}
 	r, err := readRequest(call)
 	if err != nil {
 		f.Counters.Unserved++
 		slog.Debug("request.malformed", "err", err)
-		c.write(thrift.AppendException(nil, call.Name, call.SequenceNumber, thrift.ProtocolError, err.Error()))
+		c.reply(thrift.AppendException(nil, call.Name, call.SequenceNumber, thrift.ProtocolError, err.Error()))
 		return nil
 	}
 	r.Responder = c
--- a/internal/director/client_request.go
+++ b/internal/director/client_request.go
@@ -54,7 +54,7 @@
 }
 
 func fieldError(call *thrift.Call, name string) error {
-	return fmt.Errorf("field %s of request %q: bad value %q", name, call.Field(fieldID), call.Field(name))
+	return fmt.Errorf("field %s of request %.*q: bad value %.*q", name, idDigits, call.Field(fieldID), maxFieldBytes, call.Field(name))
 }
 
 // invalidText returns the name of the first malformed text field, or "".
--- a/internal/director/unread_test.go
+++ b/internal/director/unread_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -173,6 +175,61 @@
 	})
 }
 
+// Guards against memory that fills up with replies to calls which never become a request, for a client that does not read.
+func TestFloodOfUnreadRepliesIsBounded(t *testing.T) {
+	for _, call := range []string{"heartbeat", "malformed", "unknown"} {
+		t.Run(call, func(t *testing.T) {
+			c := newScriptedCache(t)
+			d := newTestDirector(t, c.host("s-1", "in_service"))
+			other, upstream := d.serveFirstRequest(c)
+			d.onLoop(func() { d.program.frontend.maxQueuedBytes = 1 << 20 })
+			flood := d.client()
+			var text strings.Builder
+			for range 1000 {
+				switch call {
+				case "heartbeat":
+					text.WriteString(flood.call(1, "heartbeat", "\x02\x00\x01\x01"))
+				case "malformed":
+					text.WriteString(flood.submitText(requestA, strings.Repeat("\x00", 50_000), time.Second))
+				case "unknown":
+					text.WriteString(flood.call(1, "no_such_method", ""))
+				}
+			}
+			sent := make(chan error, 1)
+			go func() {
+				for range 2000 {
+					if _, err := io.WriteString(flood.conn, text.String()); err != nil {
+						sent <- err
+						return
+					}
+				}
+				sent <- nil
+			}()
+			peak := 0
+			for ended := false; !ended; {
+				d.onLoop(func() { peak = max(peak, d.program.frontend.unreadUsage().bytes) })
+				select {
+				case err := <-sent:
+					ended = true
+					if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+						t.Errorf("the flood ended with %v", err)
+					}
+				case <-time.After(time.Millisecond):
+				}
+			}
+			limit := 0
+			d.onLoop(func() { limit = d.program.frontend.unreadLimits().all })
+			if peak > limit {
+				t.Errorf("%d bytes were unread, more than %d", peak, limit)
+			}
+			other.submit(requestB, objectB)
+			id, _ := upstream.request()
+			upstream.answer(id, "OK", "n=local", "b")
+			other.want(2, 0, "b")
+		})
+	}
+}
+
 // Guards against limits whose parts add up to more than the whole, and against rejecting calls while there is room.
 func TestUnreadLimitsHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/tools/fakes/cache.go
+++ b/internal/tools/fakes/cache.go
@@ -33,6 +33,7 @@
 	conns      map[net.Conn]bool
 	closed     bool
 	delay      time.Duration
+	objectSize int                // bytes of each object; 0: a short text that names the cache
 	sources    map[string]float64 // share of fills, by source, that are reported as rejected by it; nil: no fills
 	rejectedAt []time.Time        // when it reported a fill as rejected
 }
@@ -73,6 +74,13 @@
 	c.delay = by
 }
 
+// SetObjectSize sets the size of the objects that are served, in bytes.
+func (c *Cache) SetObjectSize(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.objectSize = size
+}
+
 // Attempts returns all attempts received so far.
 func (c *Cache) Attempts() []Attempt {
 	c.mu.Lock()
@@ -184,7 +192,17 @@
 	}
 	b := resp.AppendBulk(resp.AppendBulk(resp.AppendHead(nil, 4), id), "OK")
 	b = resp.AppendBulk(b, "n="+status+",rev=1,since="+strconv.FormatInt(a.At.UnixMilli(), 10))
-	return resp.AppendBulk(b, "copy of "+c.Addr())
+	return resp.AppendBulk(b, c.object())
+}
+
+// object returns the bytes of an object.
+func (c *Cache) object() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.objectSize == 0 {
+		return []byte("copy of " + c.Addr())
+	}
+	return make([]byte, c.objectSize)
 }
 
 // record appends an attempt to the recorded ones and returns how to answer it.
--- a/internal/tools/fakes/client.go
+++ b/internal/tools/fakes/client.go
@@ -50,15 +50,42 @@
 
 // Connect connects a client to a director.
 func Connect(director string) (*Client, error) {
+	return connect(director, func(conn net.Conn) io.Reader { return conn })
+}
+
+// ConnectSlow connects a client that reads at most the given number of bytes a second. If it is 0, the client reads nothing.
+func ConnectSlow(director string, bytesPerS int) (*Client, error) {
+	return connect(director, func(conn net.Conn) io.Reader { return &slowReader{conn: conn, bytesPerS: bytesPerS} })
+}
+
+func connect(director string, newReader func(net.Conn) io.Reader) (*Client, error) {
 	conn, err := net.Dial("tcp", director)
 	if err != nil {
 		return nil, fmt.Errorf("fake client: %w", err)
 	}
 	c := &Client{conn: conn, open: map[int32]time.Time{}, done: make(chan struct{})}
-	go c.readAnswers()
+	go c.readAnswers(newReader(conn))
 	return c, nil
 }
 
+// slowReader reads from a connection at a limited rate.
+type slowReader struct {
+	conn      net.Conn
+	bytesPerS int // 0: reads fail at once, and the connection stays open
+}
+
+// slowReadsPerS is the number of reads a second of a slowReader.
+const slowReadsPerS = 100
+
+// Read implements io.Reader.
+func (r *slowReader) Read(b []byte) (int, error) {
+	if r.bytesPerS == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Second / slowReadsPerS)
+	return r.conn.Read(b[:min(len(b), max(1, r.bytesPerS/slowReadsPerS))])
+}
+
 // SendRandom sends one request of the class clips for a random one of the given number of objects.
 func (c *Client) SendRandom(objects int, timeout time.Duration) error {
 	object := rand.IntN(objects)
@@ -104,15 +131,15 @@
 }
 
 // readAnswers counts answers until the connection is closed or a frame is malformed.
-func (c *Client) readAnswers() {
+func (c *Client) readAnswers(from io.Reader) {
 	defer close(c.done)
 	head := make([]byte, frameHeaderLength)
 	for {
-		if _, err := io.ReadFull(c.conn, head); err != nil {
+		if _, err := io.ReadFull(from, head); err != nil {
 			return
 		}
 		frame := make([]byte, binary.BigEndian.Uint32(head))
-		if _, err := io.ReadFull(c.conn, frame); err != nil || len(frame) < minReplyLength {
+		if _, err := io.ReadFull(from, frame); err != nil || len(frame) < minReplyLength {
 			return
 		}
 		if !c.countAnswer(frame) {
