Let slow clients read their answers when a connection is closed gracefully

A client that reads 1 MB a second is reset in the middle of its answers, or its next request is dropped. Cause: what the kernel had accepted counted as received. The wait after a graceful close ended 0.5 s later, an eviction ended it after 50 ms, the process ended 0.5 s after the last answer; a connection with 3 MB on its way counted as unused. Change: transport.Conn tells what the peer has not acknowledged. A client with over 128 KB of it that took something in the last 2 s is neither unused nor done. The wait after a close ends after 0.5 s without progress, and after 10 s (or the longest deadline) at the latest, so that readers of nothing and trickles stay bounded in time.

--- a/internal/controlplane/watch/answer.go
+++ b/internal/controlplane/watch/answer.go
@@ -44,7 +44,7 @@
 	w.conn.Write(append([][]byte{s.headBuffer}, parts...)...)
 	switch {
 	case w.request.Close:
-		w.conn.CloseAfterFlush(0)
+		w.conn.CloseAfterFlush(0, 0)
 	case w.conn.Queued() > maxQueuedBytes:
 		slog.Warn("watcher.stalled", "addr", w.peer.String(), "queued_bytes", w.conn.Queued())
 		w.close()
--- a/internal/controlplane/watch/watcher.go
+++ b/internal/controlplane/watch/watcher.go
@@ -158,7 +158,7 @@
 	w.unregistered = true
 	body := []byte(`{"no":0,"items":[]}`)
 	w.conn.Write(discovery.AppendResponseHead(nil, status, len(body), true), body)
-	w.conn.CloseAfterFlush(0)
+	w.conn.CloseAfterFlush(0, 0)
 	w.timer.Fire = w.conn.Close // if the client does not read the response
 	w.server.loop.Set(&w.timer, w.server.loop.Now()+rejectionTimeout)
 }
--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -70,8 +70,8 @@
 	c.frontend.director.Cancel(r)
 }
 
-// closeGracefully closes the connection after everything that was written has reached the client. For up to lingerTimeout,
-// its input is read and discarded.
+// closeGracefully closes the connection after everything that was written has reached the client. Until the client closes its
+// end, or has taken nothing for lingerTimeout, its input is read and discarded.
 func (c *clientConn) closeGracefully() {
 	if c.ended {
 		return
@@ -80,7 +80,7 @@
 	c.endedAt = c.frontend.loop.Now()
 	c.frontend.lingering = append(c.frontend.lingering, c)
 	c.cancelRequests()
-	c.conn.CloseAfterFlush(lingerTimeout)
+	c.conn.CloseAfterFlush(lingerTimeout, c.frontend.stuckTimeout)
 }
 
 // closeIfUnused gracefully closes the connection, unless a request has arrived, and reports whether it did. A request that
@@ -88,13 +88,21 @@
 // connection, so it must not be called while the input of any connection is being handled.
 func (c *clientConn) closeIfUnused() bool {
 	c.conn.ReadAvailable()
-	if c.ended || len(c.inFlight) > 0 || c.conn.Queued() > 0 {
+	if c.ended || len(c.inFlight) > 0 || c.conn.Queued() > 0 || c.isReading() {
 		return false
 	}
 	c.closeGracefully()
 	return true
 }
 
+// isReading reports whether the client is still receiving answers that the kernel has accepted. It would learn of a close only
+// after the last of them, and requests that it sends until then would be lost.
+func (c *clientConn) isReading() bool {
+	now := c.frontend.loop.Now()
+	stalledFor := min(c.delivery.stalledFor(now), now-c.conn.LastUse())
+	return c.conn.Undelivered() > inTransitBytes && stalledFor < stalledTimeout
+}
+
 // stuckReason tells why a connection was closed with unread answers. Its values are those of the attribute reason in the log.
 type stuckReason string
 
@@ -135,7 +143,7 @@
 // been answered may be closed at any time, since it resends a request that crosses the close. A new client must first have
 // had evictAfter for its first request to arrive.
 func (c *clientConn) isIdle() bool {
-	if c.ended || len(c.inFlight) > 0 || c.conn.Queued() > 0 {
+	if c.ended || len(c.inFlight) > 0 || c.conn.Queued() > 0 || c.isReading() {
 		return false
 	}
 	served := c.conn.HasSent() && c.conn.IncompleteInput() == 0
--- a/internal/director/delivery.go
+++ b/internal/director/delivery.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// delivery follows how a client takes what was written to its connection, while some of it is unread.
+// delivery follows how a client takes what was written to its connection.
 type delivery struct {
 	bytes      int64         // delivered when it was last checked, see transport.Conn.Delivered
 	progressAt time.Duration // when a check last found that more bytes had been delivered
--- a/internal/director/frontend.go
+++ b/internal/director/frontend.go
@@ -25,9 +25,11 @@
 )
 
 const (
-	// lingerTimeout is the time within which a client must close its end after a graceful close. Until then its input is
-	// read and discarded: closing a socket with unread input would reset the connection and lose the last answer.
+	// lingerTimeout is the time within which a client must close its end after a graceful close and the last answer. Until then
+	// its input is read and discarded: closing a socket with unread input would reset the connection and lose that answer.
 	lingerTimeout = 500 * time.Millisecond
+	// inTransitBytes is the number of bytes that may be unacknowledged although the client reads at once.
+	inTransitBytes = 128 << 10
 	// closeRaceWindow is the time for which a request sent before the client noticed the close may still arrive. After that,
 	// the lingering connection may be closed to admit a new one.
 	closeRaceWindow = 50 * time.Millisecond
@@ -128,9 +130,8 @@
 // last answer reaches the client; lingeringDivisor limits how many connections may linger beyond maxClients.
 func (f *frontend) evict() bool {
 	maxLingering := f.maxClients/lingeringDivisor + 1
-	if n := len(f.lingering); n > 0 {
-		c := f.lingering[0]
-		if n >= maxLingering || f.loop.Now()-c.endedAt >= closeRaceWindow {
+	if c := f.longestLingering(); c != nil {
+		if len(f.lingering) >= maxLingering || f.loop.Now()-c.endedAt >= closeRaceWindow {
 			c.conn.Close()
 			c.remove()
 			if len(f.clients) < f.maxClients {
@@ -151,10 +152,21 @@
 	return true
 }
 
+// longestLingering returns the lingering connection that was closed first, of those whose clients have received all answers. It
+// returns nil if there is none.
+func (f *frontend) longestLingering() *clientConn {
+	for _, c := range f.lingering {
+		if c.conn.Queued() == 0 && !c.isReading() {
+			return c
+		}
+	}
+	return nil
+}
+
 // longestIdle returns the idle connection that has been unused the longest, or nil if none is idle.
 func (f *frontend) longestIdle() (longest *clientConn) {
 	for c := range f.clients {
-		if c.isIdle() && (longest == nil || c.conn.LastUse() < longest.conn.LastUse()) {
+		if (longest == nil || c.conn.LastUse() < longest.conn.LastUse()) && c.isIdle() {
 			longest = c
 		}
 	}
@@ -173,13 +185,11 @@
 
 func (f *frontend) sweepClient(c *clientConn, now time.Duration) {
 	unused := now - c.conn.LastUse()
-	if c.conn.Queued() > 0 {
-		c.delivery.check(c.conn.Delivered(), now)
-	}
+	c.delivery.check(c.conn.Delivered(), now)
 	switch {
 	case c.conn.Queued() > 0 && c.delivery.stalledFor(now) >= f.stuckTimeout:
 		c.closeStuck(stuckUnread)
-	case c.ended: // lingering; the transport enforces lingerTimeout
+	case c.ended: // lingering; the transport limits the time
 	case len(c.inFlight) == 0 && !c.conn.HasSent() && now-c.openedAt >= f.firstAnswerTimeout:
 		if c.closeIfUnused() {
 			f.Counters.Silent++
@@ -189,10 +199,10 @@
 	}
 }
 
-// isFlushed reports whether the operating system has accepted all answers.
-func (f *frontend) isFlushed() bool {
+// isDelivered reports whether no client is still receiving answers.
+func (f *frontend) isDelivered() bool {
 	for c := range f.clients {
-		if c.conn.Queued() > 0 {
+		if c.conn.Queued() > 0 || c.isReading() {
 			return false
 		}
 	}
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -10,7 +10,7 @@
 	// platform routes new connections to it for up to 0.4 s after SIGTERM, and clients send requests on open connections for
 	// 0.2 s more.
 	drainAcceptTime = 700 * time.Millisecond
-	// lastAnswerTimeout is the time within which clients must read their last answers and close.
+	// lastAnswerTimeout is the time within which clients must close after they have read their last answers.
 	lastAnswerTimeout = 500 * time.Millisecond
 	// leaveTimeout is the time within which the control plane must acknowledge that the director leaves.
 	leaveTimeout = 300 * time.Millisecond
@@ -48,7 +48,8 @@
 	p.loop.Stop()
 }
 
-// clientsDone reports whether all requests have been answered, and the clients have disconnected or lastAnswerTimeout has passed.
+// clientsDone reports whether all requests have been answered, and the clients have disconnected, or lastAnswerTimeout has passed
+// and no client is still receiving answers.
 func (p *Program) clientsDone(now time.Duration) bool {
 	if p.idleSince == 0 {
 		return false
@@ -56,7 +57,7 @@
 	if len(p.frontend.clients) == 0 {
 		return true
 	}
-	return now-p.idleSince >= lastAnswerTimeout && p.frontend.isFlushed()
+	return now-p.idleSince >= lastAnswerTimeout && p.frontend.isDelivered()
 }
 
 // announceLeaving announces, on its first call, that the director leaves with no work in flight. It reports whether the
--- a/internal/director/unread_test.go
+++ b/internal/director/unread_test.go
@@ -20,19 +20,17 @@
 // slowReader is a client that reads its answers at a limited rate.
 type slowReader struct {
 	*scriptedConn
+	pause   time.Duration // before each read of readStepBytes
 	answers map[int32]reply
 	err     error
 }
 
-const (
-	readStepBytes = 32 << 10
-	readStepPause = 8 * time.Millisecond // 4 MB a second
-)
+const readStepBytes = 32 << 10
 
-func (d *testDirector) slowReader() *slowReader {
+func (d *testDirector) slowReader(bytesPerS int) *slowReader {
 	c := d.client()
 	must(d.t, c.conn.(*net.TCPConn).SetReadBuffer(readStepBytes))
-	return &slowReader{scriptedConn: c, answers: map[int32]reply{}}
+	return &slowReader{scriptedConn: c, pause: readStepBytes * time.Second / time.Duration(bytesPerS), answers: map[int32]reply{}}
 }
 
 // readAnswers reads slowly until n answers have arrived or the connection ends.
@@ -40,7 +38,7 @@
 	var unread []byte
 	chunk := make([]byte, readStepBytes)
 	for len(r.answers) < n {
-		time.Sleep(readStepPause)
+		time.Sleep(r.pause)
 		read, err := r.conn.Read(chunk)
 		unread = append(unread, chunk[:read]...)
 		for len(unread) >= 4 && len(unread) >= 4+int(binary.BigEndian.Uint32(unread)) {
@@ -96,7 +94,7 @@
 	d.onLoop(func() { d.program.frontend.maxQueuedBytes = 4 << 20 })
 	slow := make([]*slowReader, clients)
 	for i := range slow {
-		slow[i] = d.slowReader()
+		slow[i] = d.slowReader(4 << 20)
 		for n := range requests {
 			slow[i].submit(fmt.Sprintf("%016x", 0xc000+i*requests+n), objectA)
 		}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -41,8 +41,8 @@
 
 	dialing      bool
 	closed       bool
-	writeClosing bool          // the write side is closed once all output is written
-	linger       time.Duration // see CloseAfterFlush
+	writeClosing bool // the write side is closed once all output is written
+	linger       linger
 
 	input       []byte // unconsumed bytes
 	inputNeeded int    // number of bytes that must be available before Data is called again
@@ -128,6 +128,9 @@
 // that it has accepted count as delivered.
 func (c *Conn) Delivered() int64 { return c.sentBytes - c.unacknowledged() }
 
+// Undelivered returns the number of written bytes that the peer's kernel has not acknowledged.
+func (c *Conn) Undelivered() int { return c.outputBytes + int(c.unacknowledged()) }
+
 func (c *Conn) unacknowledged() int64 {
 	if c.closed {
 		return 0
@@ -142,15 +145,23 @@
 // IncompleteInput returns the number of received bytes that belong to an incomplete message.
 func (c *Conn) IncompleteInput() int { return len(c.input) }
 
-// CloseAfterFlush sends the queued output, closes the write side, and waits up to linger for the peer to close the
-// connection; 0 waits without limit. Closing at once with unread input would reset the connection and could discard the last
-// answer. Data is still called for input that arrives.
-func (c *Conn) CloseAfterFlush(linger time.Duration) {
+// linger is the state of a connection whose write side is closed, see CloseAfterFlush.
+type linger struct {
+	idle      time.Duration // 0: no limit
+	deadline  time.Duration
+	delivered int64 // bytes delivered when the timer was set
+}
+
+// CloseAfterFlush sends the queued output, closes the write side, and waits for the peer to close the connection. The wait ends
+// when the peer has taken no output for the time idle, or after the time limit at the latest; if idle is 0, it does not end.
+// Closing at once with unread input would reset the connection and could discard answers that the peer has not read. Data is
+// still called for input that arrives.
+func (c *Conn) CloseAfterFlush(idle, limit time.Duration) {
 	if c.closed || c.writeClosing {
 		return
 	}
 	c.writeClosing = true
-	c.linger = linger
+	c.linger = linger{idle: idle, deadline: c.loop.now + limit}
 	if c.outputBytes == 0 {
 		c.shutdownWrite()
 	}
@@ -158,10 +169,25 @@
 
 func (c *Conn) shutdownWrite() {
 	_ = unix.Shutdown(c.fd, unix.SHUT_WR) // fails if the peer has already closed, which the next read reports
-	if c.linger > 0 {
-		c.timer.Fire = func() { c.fail(ErrLingerTimeout) }
-		c.loop.Set(&c.timer, c.loop.now+c.linger)
+	if c.linger.idle > 0 {
+		c.timer.Fire = c.lingerTimedOut
+		c.setLingerTimer()
+	}
+}
+
+func (c *Conn) setLingerTimer() {
+	c.linger.delivered = c.Delivered()
+	c.loop.Set(&c.timer, c.loop.now+c.linger.idle)
+}
+
+// lingerTimedOut closes the connection unless the peer is still taking output.
+func (c *Conn) lingerTimedOut() {
+	progress := c.unacknowledged() > 0 && c.Delivered() > c.linger.delivered
+	if !progress || c.loop.now >= c.linger.deadline {
+		c.fail(ErrLingerTimeout)
+		return
 	}
+	c.setLingerTimer()
 }
 
 // Close closes the connection immediately. The handler's Closed is not called.
