Refuse a cache's answer that lacks one of its four words

Cause: parseResponse took two to four words, and passed an OK of three on as an answer with no bytes. The protocol gives every answer four. Change: an answer has four words and FIELDS that are not empty, else it is malformed as anything else that can't be read. A pong has two or four words. The project's fake cache sends four. Why it works: the answer is refused in the read in which it comes, before anything is passed on; its attempt ends as reset, which may have run, and the request goes on as its class allows.

--- a/internal/director/cache_conn.go
+++ b/internal/director/cache_conn.go
@@ -100,7 +100,7 @@
 		}
 		used += n
 		c.lastWords = len(words)
-		if len(words) >= 2 && string(words[1]) == pong {
+		if isPong(words) {
 			c.handler.Pong(words[0])
 			continue
 		}
--- a/internal/director/cache_protocol.go
+++ b/internal/director/cache_protocol.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -18,6 +19,17 @@
 	pong           = "UP"
 )
 
+// Numbers of words in the messages of caches: ID, STATUS, FIELDS and BODY. A pong may consist of the first two.
+const (
+	responseWords  = 4
+	shortPongWords = 2
+)
+
+var (
+	errResponseWords = errors.New("unexpected number of words in response")
+	errNoFields      = errors.New("response has neither fields nor the mark for none")
+)
+
 // fetchOptionWords are the values of fetch options in the field "do".
 var fetchOptionWords = []struct {
 	option decision.FetchOptions
@@ -102,25 +114,29 @@
 	return joined
 }
 
-// parseResponse parses a response, which consists of the words ID, STATUS, FIELDS and BODY. The last two are optional.
+// isPong reports whether a message is the answer to a ping.
+func isPong(words resp.Words) bool {
+	return (len(words) == shortPongWords || len(words) == responseWords) && string(words[1]) == pong
+}
+
+// parseResponse parses a response to a request. It returns an error if any of the four words is missing.
 func (d *cacheDialer) parseResponse(words resp.Words) (requestID []byte, r *routing.Response, err error) {
-	if len(words) < 2 || len(words) > 4 {
-		return nil, nil, fmt.Errorf("unexpected number of words in response: %d", len(words))
+	if len(words) != responseWords {
+		return nil, nil, fmt.Errorf("%w: %d", errResponseWords, len(words))
 	}
-	status, known := statusWords[string(words[1])]
+	id, statusWord, fields, body := words[0], string(words[1]), words[2], words[3]
+	status, known := statusWords[statusWord]
 	if !known {
-		return nil, nil, fmt.Errorf("unknown response status %q", words[1])
-	}
-	r = &routing.Response{Status: status, NotModified: string(words[1]) == notModifiedWord}
-	if len(words) > 3 {
-		r.Body = words[3]
+		return nil, nil, fmt.Errorf("unknown response status %q", statusWord)
 	}
-	if len(words) > 2 {
-		err = resp.Fields(words[2], func(name, value []byte) error {
-			return d.parseResponseField(r, string(name), string(value))
-		})
+	if len(fields) == 0 {
+		return nil, nil, errNoFields
 	}
-	return words[0], r, err
+	r = &routing.Response{Status: status, NotModified: statusWord == notModifiedWord, Body: body}
+	err = resp.Fields(fields, func(name, value []byte) error {
+		return d.parseResponseField(r, string(name), string(value))
+	})
+	return id, r, err
 }
 
 func (d *cacheDialer) parseResponseField(r *routing.Response, name, value string) error {
--- a/internal/tools/fakes/cache.go
+++ b/internal/tools/fakes/cache.go
@@ -187,12 +187,16 @@
 	status, rejected, delay := c.record(a)
 	time.Sleep(delay)
 	if rejected {
-		b := resp.AppendBulk(resp.AppendBulk(resp.AppendHead(nil, 3), id), "ERR")
-		return resp.AppendBulk(b, "n=turned_away")
+		return appendResponse(id, "ERR", "n=turned_away", nil)
 	}
-	b := resp.AppendBulk(resp.AppendBulk(resp.AppendHead(nil, 4), id), "OK")
-	b = resp.AppendBulk(b, "n="+status+",rev=1,since="+strconv.FormatInt(a.At.UnixMilli(), 10))
-	return resp.AppendBulk(b, c.object())
+	return appendResponse(id, "OK", "n="+status+",rev=1,since="+strconv.FormatInt(a.At.UnixMilli(), 10), c.object())
+}
+
+func appendResponse(id []byte, status, fields string, body []byte) []byte {
+	b := resp.AppendBulk(resp.AppendHead(nil, 4), id)
+	b = resp.AppendBulk(b, status)
+	b = resp.AppendBulk(b, fields)
+	return resp.AppendBulk(b, body)
 }
 
 // object returns the bytes of an object.
