Withhold a cached object whose tag or time is missing from the answer

Cause: responseGuard skipped the checks of purges and age when the time of an OK was unknown, so that a copy of any age could be served. A SAME to a class without copies ended as a miss, which never ran: an unsafe request could run twice. Change: an OK or SAME of a class with copies has rev and since, else it is withheld, and its attempt ends as reset: it has run, and goes on as its class allows. The same for a SAME to a class without copies. A SAME with another tag stays a miss. The tests failed before: TestIncompleteObjectIsWithheld (served), TestConfirmedCopyOfUncacheableClassCountsAsRun. The scripted caches of the tests name both fields now, as the protocol has it; what the tests check is as before.

--- a/internal/director/request_races_test.go
+++ b/internal/director/request_races_test.go
@@ -150,7 +150,7 @@
 	d.publish(2, fmt.Sprintf(`"recall":{"lot":5,"issued":%d}`, issued))
 	client.submit(requestA, objectA)
 	upstream.request()
-	twice := respArray(requestA, "OK", fmt.Sprintf("n=local,since=%d", issued-1), "old") // withheld and retried
+	twice := respArray(requestA, "OK", withObjectFields(fmt.Sprintf("n=local,since=%d", issued-1)), "old") // withheld and retried
 	upstream.write(twice + twice)
 	second := c.accept()
 	second.request()
--- a/internal/director/routing/attempts.go
+++ b/internal/director/routing/attempts.go
@@ -270,10 +270,10 @@
 		q.firstRunAt = a.sentAt
 	}
 	if status == decision.OK && !q.answered {
-		if reason := d.responseGuard(a, r); reason != "" {
+		var reason string
+		if reason, status = d.responseGuard(a, r); reason != "" {
 			d.Counters.ResponsesWithheld++
 			slog.Debug("response.withheld", "host", a.host.Name, "id", q.ID, "why", reason)
-			status = decision.Miss
 		} else {
 			d.respond(q, r)
 		}
--- a/internal/director/routing/attempts_test.go
+++ b/internal/director/routing/attempts_test.go
@@ -16,7 +16,7 @@
 	d.Submit(r)
 	dialer.conns[0].handler.Connected()
 	d.Cancel(r)
-	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+	dialer.conns[0].handler.Received([]byte("r1"), okResponse("x"))
 	responses.want(t)
 	if d.Counters.LateResponses != 1 || d.InFlight() != 0 || len(d.requests) != 0 {
 		t.Errorf("%d late responses, %d requests in flight, %d known", d.Counters.LateResponses, d.InFlight(), len(d.requests))
@@ -37,7 +37,7 @@
 	if picked := a.host.pickConn(q); picked != nil {
 		t.Error("the connection of the cancelled attempt is picked again")
 	}
-	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("late")})
+	dialer.conns[0].handler.Received([]byte("r1"), okResponse("late"))
 	if d.Counters.LateResponses != 1 || d.Counters.Served != 0 {
 		t.Errorf("the late response was used: %+v", d.Counters)
 	}
@@ -52,7 +52,7 @@
 		old := dialer.conns[0]
 		old.handler.Connected()
 		d.Submit(newTestRequest(responses, "r2"))
-		old.handler.Received([]byte("r2"), &Response{Status: decision.OK}) // the host answers, so the module retries there
+		old.handler.Received([]byte("r2"), okResponse("")) // the host answers, so the module retries there
 		d.cancelAttempt(decision.CancelAttempt{Request: "r1"})
 		if len(old.cancelled) != 1 || len(old.pings) != 1 || len(dialer.conns) != 1 {
 			t.Fatalf("cancelled %q, pinged %q, %d connections", old.cancelled, old.pings, len(dialer.conns))
@@ -120,7 +120,7 @@
 	old := dialer.conns[0]
 	old.handler.Connected()
 	d.Submit(newTestRequest(responses, "r2"))
-	old.handler.Received([]byte("r2"), &Response{Status: decision.OK})
+	old.handler.Received([]byte("r2"), okResponse(""))
 	d.cancelAttempt(decision.CancelAttempt{Request: "r1"}) // the module retries, and the retry waits for the pong
 	if len(old.pings) != 1 {
 		t.Fatalf("pinged %q", old.pings)
@@ -164,7 +164,7 @@
 	responses.noRoom = true
 	d.Submit(newTestRequest(responses, "r1"))
 	dialer.conns[0].handler.Connected()
-	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+	dialer.conns[0].handler.Received([]byte("r1"), okResponse("x"))
 	responses.want(t, "r1 failed")
 	if d.Counters.Served != 0 || d.Counters.Failed != 1 || d.InFlight() != 0 {
 		t.Errorf("%+v, %d in flight", d.Counters, d.InFlight())
--- a/internal/director/routing/conn_test.go
+++ b/internal/director/routing/conn_test.go
@@ -18,7 +18,7 @@
 		t.Fatalf("%d connections: the request was not retried at the other host", len(dialer.conns))
 	}
 	dialer.conns[1].handler.Connected()
-	dialer.conns[1].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+	dialer.conns[1].handler.Received([]byte("r1"), okResponse("x"))
 	responses.want(t, "r1 served x")
 }
 
@@ -99,7 +99,7 @@
 	}
 	dialer.conns[1].handler.Closed(transport.ErrDialTimeout)
 	responses.want(t, "r2 rejected") // its attempt was never sent, and there is no other host
-	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+	dialer.conns[0].handler.Received([]byte("r1"), okResponse("x"))
 	responses.want(t, "r2 rejected", "r1 served x")
 }
 
@@ -108,7 +108,7 @@
 	d, dialer, responses := newTestDirector(t, defaultLimits, "a")
 	d.Submit(newTestRequest(responses, "r1"))
 	dialer.conns[0].handler.Connected()
-	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK})
+	dialer.conns[0].handler.Received([]byte("r1"), okResponse(""))
 	restarted := testEndpoint("a", decision.Ready)
 	restarted.StartedAt = d.loop.Now()
 	d.UpdateEndpoints(2, false, []Endpoint{restarted})
@@ -139,7 +139,7 @@
 		for _, conn := range dialer.conns {
 			for _, upstream := range conn.requests {
 				if !conn.closed {
-					conn.handler.Received([]byte(upstream.ID), &Response{Status: decision.OK})
+					conn.handler.Received([]byte(upstream.ID), okResponse(""))
 				}
 			}
 		}
--- a/internal/director/routing/endpoints_test.go
+++ b/internal/director/routing/endpoints_test.go
@@ -35,13 +35,13 @@
 		if c.event != "" && !strings.Contains(out, c.event) || c.event == "" && out != "" {
 			t.Errorf("%q: logged %q", c.event, out)
 		}
-		dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+		dialer.conns[0].handler.Received([]byte("r1"), okResponse("x"))
 		d.Submit(newTestRequest(responses, "r2"))
 		for _, conn := range dialer.conns {
 			if !conn.closed && len(conn.requests) == 0 {
 				conn.handler.Connected()
 			}
-			conn.handler.Received([]byte("r2"), &Response{Status: decision.OK, Body: []byte("y")})
+			conn.handler.Received([]byte("r2"), okResponse("y"))
 		}
 		responses.want(t, "r1 served x", c.then)
 	}
--- a/internal/director/routing/fakes_test.go
+++ b/internal/director/routing/fakes_test.go
@@ -167,6 +167,11 @@
 	}
 }
 
+// okResponse returns a whole response with an object.
+func okResponse(body string) *Response {
+	return &Response{Status: decision.OK, ETag: "4be0c1927d55a6f3", GeneratedAt: time.Second, Body: []byte(body)}
+}
+
 func defaultLimits(*Limits) {}
 
 // runLoop runs the director's loop for the given time.
--- a/internal/director/routing/guards.go
+++ b/internal/director/routing/guards.go
@@ -13,6 +13,9 @@
 	dedupMargin = 20 * time.Millisecond
 	// ageMargin is added to the age limit of responses, to allow for the time they spend in socket buffers.
 	ageMargin = 50 * time.Millisecond
+	// incompleteStatus is the status of an attempt whose response lacks a part, as if its connection had been reset: it has run,
+	// and no error of the cache is known.
+	incompleteStatus = decision.Reset
 )
 
 // classRules are the rules of a request class that the guards check.
@@ -88,22 +91,26 @@
 	return q.firstRunAt + window - dedupMargin
 }
 
-// responseGuard returns the reason why a response must not be passed on, or "". Caches enforce the age limit on a
-// best-effort basis; the director is responsible for what the client gets.
-func (d *Director) responseGuard(a *attempt, r *Response) string {
+// responseGuard returns the reason why a response must not be passed on, and the status with which its attempt ends instead. The
+// reason is "" if the response may be passed on. Caches enforce the age limit on a best-effort basis; the director is responsible
+// for what the client gets.
+func (d *Director) responseGuard(a *attempt, r *Response) (reason string, status decision.Status) {
 	q := a.request
-	if r.NotModified && (a.etag == "" || r.ETag != a.etag) {
-		return "the response names an ETag that the client does not have"
-	}
 	rules := d.classes[q.Class]
-	if r.GeneratedAt == 0 || !rules.cacheable {
-		return ""
-	}
-	if d.purges.invalidates(q, r.GeneratedAt, a.sentAt-d.limits.PurgeGrace) {
-		return "the response was generated before a purge"
-	}
-	if rules.maxAge > 0 && a.sentAt-r.GeneratedAt > rules.maxAge+ageMargin {
-		return "the response exceeds the age limit of its class"
+	wrongETag := r.NotModified && (a.etag == "" || r.ETag != a.etag)
+	switch {
+	case wrongETag && rules.cacheable:
+		return "the response names an ETag that the client does not have", decision.Miss
+	case wrongETag:
+		return "the response confirms a copy, of which its class has none", incompleteStatus
+	case !rules.cacheable:
+		return "", decision.OK
+	case r.ETag == "" || r.GeneratedAt == 0:
+		return "the response lacks its ETag or the time at which it was generated", incompleteStatus
+	case d.purges.invalidates(q, r.GeneratedAt, a.sentAt-d.limits.PurgeGrace):
+		return "the response was generated before a purge", decision.Miss
+	case rules.maxAge > 0 && a.sentAt-r.GeneratedAt > rules.maxAge+ageMargin:
+		return "the response exceeds the age limit of its class", decision.Miss
 	}
-	return ""
+	return "", decision.OK
 }
--- a/internal/director/routing/guards_test.go
+++ b/internal/director/routing/guards_test.go
@@ -67,3 +67,57 @@
 		t.Error("an old purge was not dropped")
 	}
 }
+
+// Guards against passing on an object whose age is unknown because the response lacks the time or the ETag: neither purges nor
+// the age limit could be enforced. Its request goes on elsewhere.
+func TestIncompleteObjectIsWithheld(t *testing.T) {
+	for name, spoil := range map[string]func(*Response){
+		"no time": func(r *Response) { r.GeneratedAt = 0 },
+		"no ETag": func(r *Response) { r.ETag = "" },
+		"neither": func(r *Response) { r.GeneratedAt, r.ETag = 0, "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, dialer, responses := newTestDirector(t, defaultLimits, "a")
+			d.Submit(newTestRequest(responses, "r1"))
+			dialer.conns[0].handler.Connected()
+			incomplete := okResponse("spoilt")
+			spoil(incomplete)
+			dialer.conns[0].handler.Received([]byte("r1"), incomplete)
+			responses.want(t)
+			dialer.conns[1].handler.Connected()
+			dialer.conns[1].handler.Received([]byte("r1"), okResponse("whole"))
+			responses.want(t, "r1 served whole")
+			if d.Counters.ResponsesWithheld != 1 {
+				t.Errorf("%+v", d.Counters)
+			}
+		})
+	}
+}
+
+// Guards against withholding responses of a class that caches keep no copies of, which have neither an ETag nor a time.
+func TestUncacheableResponseNeedsNoETag(t *testing.T) {
+	d, dialer, responses := newTestDirector(t, defaultLimits, "a")
+	d.classes["clips"] = classRules{cacheable: false}
+	d.Submit(newTestRequest(responses, "r1"))
+	dialer.conns[0].handler.Connected()
+	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("report")})
+	responses.want(t, "r1 served report")
+}
+
+// Guards against repeating a request that may have run because a cache confirms a copy where there can be none.
+func TestConfirmedCopyOfUncacheableClassCountsAsRun(t *testing.T) {
+	d, dialer, responses := newTestDirector(t, defaultLimits, "a")
+	d.classes["clips"] = classRules{cacheable: false}
+	d.Submit(newTestRequest(responses, "r1"))
+	dialer.conns[0].handler.Connected()
+	confirmed := okResponse("")
+	confirmed.NotModified = true
+	q := d.requests["r1"]
+	dialer.conns[0].handler.Received([]byte("r1"), confirmed)
+	if q.firstRunAt == 0 || d.Counters.NotModified != 0 || d.Counters.ResponsesWithheld != 1 {
+		t.Errorf("first run at %v, %+v", q.firstRunAt, d.Counters)
+	}
+	if reason, status := d.responseGuard(q.attempts[0], confirmed); reason == "" || !mayHaveRun(status) {
+		t.Errorf("%q, status %v", reason, status)
+	}
+}
--- a/internal/director/routing/request_benchmark_test.go
+++ b/internal/director/routing/request_benchmark_test.go
@@ -85,7 +85,9 @@
 		}
 		dialer.connecting = dialer.connecting[:0]
 		conn := dialer.last
-		conn.handler.Received([]byte(conn.requestID), &Response{Status: decision.OK, Body: body})
+		response := okResponse("")
+		response.Body = body
+		conn.handler.Received([]byte(conn.requestID), response)
 	}
 	request(0)
 	b.ReportAllocs()
--- a/internal/director/routing/resubmissions_test.go
+++ b/internal/director/routing/resubmissions_test.go
@@ -15,7 +15,7 @@
 	d.Submit(newTestRequest(responses, "r1"))
 	responses.want(t, "r1 failed")
 	dialer.conns[0].handler.Connected()
-	dialer.conns[0].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+	dialer.conns[0].handler.Received([]byte("r1"), okResponse("x"))
 	responses.want(t, "r1 failed", "r1 served x")
 	if d.InFlight() != 0 || len(d.requests) != 0 {
 		t.Errorf("%d requests in flight, %d known", d.InFlight(), len(d.requests))
@@ -38,7 +38,7 @@
 		t.Fatalf("%d connections, %+v", len(dialer.conns), d.Counters)
 	}
 	dialer.conns[1].handler.Connected()
-	dialer.conns[1].handler.Received([]byte("r1"), &Response{Status: decision.OK, Body: []byte("x")})
+	dialer.conns[1].handler.Received([]byte("r1"), okResponse("x"))
 	responses.want(t, "r1 served x")
 }
 
--- a/internal/director/scripted_conn_test.go
+++ b/internal/director/scripted_conn_test.go
@@ -163,11 +163,26 @@
 	return w[1], fields
 }
 
+// answer writes a response to a request. An object gets the ETag and the time that every object has, unless the test names them.
 func (p *scriptedConn) answer(w ...string) {
 	p.t.Helper()
+	if isObject := w[1] == "OK" || w[1] == "SAME"; isObject {
+		w[2] = withObjectFields(w[2])
+	}
 	p.write(respArray(w...))
 }
 
+// withObjectFields adds the fields that every object has to a list of fields that lacks them.
+func withObjectFields(fields string) string {
+	if !strings.Contains(fields, "rev=") {
+		fields += ",rev=4be0c1927d55a6f3"
+	}
+	if !strings.Contains(fields, "since=") {
+		fields += fmt.Sprintf(",since=%d", time.Now().UnixMilli())
+	}
+	return fields
+}
+
 // respArray returns an array of bulk strings.
 func respArray(w ...string) string {
 	s := fmt.Sprintf("*%d\r\n", len(w))
