Reject requests that lack their part or group, and frames with bytes left over

Cause: an absent part or group was read as 0, so that a client was served what it did not name, or what a purge of its group did not reach; a frame longer than its message swallowed the start of the next; a keyed request without its token was sent again after it may have run, though caches know a repeat by the token. Change: both fields are required, a frame ends where its message does, and without a token nothing is sent again that may have run. mem and the body stay optional. The tests failed before: TestRequestWithMissingFieldIsNotForwarded, TestFrameLongerThanItsMessageIsMalformed and TestRequestWithoutItsIdempotencyKeyIsNotRepeated. TestPartlyWrittenRetryEndsWithDedupWindow left the token out by mistake; with one it checks what it did. The fake client sends group as the platform's clients do.

--- a/internal/controlplane/replicas/quota_test.go
+++ b/internal/controlplane/replicas/quota_test.go
@@ -83,7 +83,7 @@
 			return
 		case <-time.After(pause):
 			object := rand.Uint64N(200)
-			if c.SendRequest("clips", 1+object, 5*time.Second, "group", fmt.Sprint(object), "mem", "1000") != nil {
+			if c.SendRequest("clips", 1+object, 5*time.Second, "mem", "1000") != nil {
 				return
 			}
 		}
--- a/internal/director/client_request.go
+++ b/internal/director/client_request.go
@@ -88,7 +88,7 @@
 	if r.PurgeGroup, err = parseCount(call.Field(fieldPurgeGroup)); err != nil || r.PurgeGroup > maxPurgeGroup {
 		return fieldPurgeGroup
 	}
-	if v := call.Field(fieldSizeKB); len(v) > 0 {
+	if v := call.Field(fieldSizeKB); len(v) > 0 { // not every site tells the size
 		if r.SizeKB, err = parseBelow(v, sizeKBBound); err != nil {
 			return fieldSizeKB
 		}
@@ -127,11 +127,8 @@
 	return true
 }
 
-// parseCount parses an integer that is 0 or more. An empty b yields 0.
+// parseCount parses an integer that is 0 or more.
 func parseCount(b []byte) (int, error) {
-	if len(b) == 0 {
-		return 0, nil
-	}
 	n, err := strconv.ParseUint(string(b), 10, countBits)
 	return int(n), err
 }
--- a/internal/director/request_races_test.go
+++ b/internal/director/request_races_test.go
@@ -207,3 +207,36 @@
 	})
 	must(t, upstream.conn.Close())
 }
+
+// Guards against serving a request that does not say which part of its object it is for, or lacks another field: the director
+// must not choose one.
+func TestRequestWithMissingFieldIsNotForwarded(t *testing.T) {
+	complete := [][2]string{
+		{"method", "clips"}, {"rid", requestA}, {"budget", "5000"}, {"obj", objectA}, {"part", "0"}, {"group", "5"}, {"mem", "100"},
+	}
+	for missing, field := range complete {
+		t.Run(field[0], func(t *testing.T) {
+			c := newScriptedCache(t)
+			d := newTestDirector(t, c.host("s-1", "in_service"))
+			_, upstream := d.serveFirstRequest(c)
+			client := d.client()
+			fields := "\x0d\x00\x01\x0b\x0b" + be32(len(complete)-1)
+			for i, f := range complete {
+				if i != missing {
+					fields += str(f[0]) + str(f[1])
+				}
+			}
+			client.write(client.call(1, "submit", fields+"\x0b\x00\x02"+str("")))
+			if field[0] == "mem" { // not every site tells it
+				id, _ := upstream.request()
+				upstream.answer(id, "OK", objectFields, "x")
+				client.want(1, 0, "x")
+				return
+			}
+			if r := client.reply(); r.kind != 3 {
+				t.Errorf("without %s: %+v", field[0], r)
+			}
+			d.wantNothingSentBefore(upstream, requestB)
+		})
+	}
+}
--- a/internal/director/routing/attempts_test.go
+++ b/internal/director/routing/attempts_test.go
@@ -138,6 +138,7 @@
 	d, dialer, responses := newTestDirector(t, defaultLimits, "a")
 	d.classes["clips"] = classRules{idempotency: decision.IdempotentWithKey, dedupScope: decision.ScopeAll, dedupWindow: window}
 	r := newTestRequest(responses, "r1")
+	r.IdempotencyKey = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 	r.SizeKB = 10_000 // large enough that the module does not cancel the request before the window ends
 	d.Submit(r)
 	dialer.conns[0].handler.Connected()
--- a/internal/director/routing/guards.go
+++ b/internal/director/routing/guards.go
@@ -81,14 +81,16 @@
 // dedupDeadline returns the time until which a repeat of a request may be sent because caches still drop it. There is no
 // limit (math.MaxInt64) if no attempt may have run yet or the class has no deduplication window.
 func (d *Director) dedupDeadline(q *clientRequest) time.Duration {
-	if q.firstRunAt == 0 {
+	rules := d.classes[q.Class]
+	switch {
+	case q.firstRunAt == 0:
 		return math.MaxInt64
-	}
-	window := d.classes[q.Class].dedupWindow
-	if window == 0 {
+	case rules.idempotency == decision.IdempotentWithKey && q.IdempotencyKey == "":
+		return q.firstRunAt // caches cannot recognize a repeat
+	case rules.dedupWindow == 0:
 		return math.MaxInt64
 	}
-	return q.firstRunAt + window - dedupMargin
+	return q.firstRunAt + rules.dedupWindow - dedupMargin
 }
 
 // responseGuard returns the reason why a response must not be passed on, and the status with which its attempt ends instead. The
--- a/internal/director/routing/guards_test.go
+++ b/internal/director/routing/guards_test.go
@@ -121,3 +121,20 @@
 		t.Errorf("%q, status %v", reason, status)
 	}
 }
+
+// Guards against repeating a request of a class with idempotency keys that has none: caches cannot recognize the repeat.
+func TestRequestWithoutItsIdempotencyKeyIsNotRepeated(t *testing.T) {
+	for _, key := range []string{"", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"} {
+		d, dialer, responses := newTestDirector(t, defaultLimits, "a")
+		d.classes["clips"] = classRules{idempotency: decision.IdempotentWithKey, dedupWindow: time.Minute}
+		r := newTestRequest(responses, "r1")
+		r.IdempotencyKey = key
+		d.Submit(r)
+		dialer.conns[0].handler.Connected()
+		dialer.conns[0].handler.Closed(errors.New("reset")) // it may have run; the module retries
+		dialer.conns[1].handler.Connected()
+		if sent := len(dialer.conns[1].requests); (sent > 0) != (key != "") {
+			t.Errorf("key %q: %d retries sent", key, sent)
+		}
+	}
+}
--- a/internal/protocol/thrift/parse.go
+++ b/internal/protocol/thrift/parse.go
@@ -97,6 +97,8 @@
 var (
 	errTruncated = errors.New("thrift: truncated message")
 	errTooDeep   = errors.New("thrift: nested too deeply")
+	// errTrailingBytes means that the length of the frame is wrong, so that a part of the next one was taken for its end.
+	errTrailingBytes = errors.New("thrift: frame is longer than its message")
 )
 
 // Parse parses the message at the start of b into c and returns the number of bytes that it used. If the message is
@@ -117,6 +119,9 @@
 	if err := r.readCall(c); err != nil {
 		return 0, 0, err
 	}
+	if len(r.b) > 0 {
+		return 0, 0, errTrailingBytes
+	}
 	return end, 0, nil
 }
 
@@ -124,7 +129,6 @@
 type reader struct{ b []byte }
 
 // readN returns the next n bytes.
-
 func (r *reader) readN(n int) ([]byte, error) {
 	if n < 0 || n > len(r.b) {
 		return nil, errTruncated
--- a/internal/protocol/thrift/thrift_test.go
+++ b/internal/protocol/thrift/thrift_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"testing"
 )
 
@@ -45,7 +46,7 @@
 func TestParseMalformedCall(t *testing.T) {
 	good := submitFrame([][2]string{{"rid", "9b1f03aa5c7e2d41"}}, "abc")
 	var c Call
-	for cut := frameHeaderSize; cut < len(good)-1; cut++ { // a truncated call in a frame whose size is correct
+	for cut := frameHeaderSize; cut < len(good); cut++ { // a truncated call in a frame whose size is correct
 		b := bytes.Clone(good[:cut])
 		setFrame(b, cut-frameHeaderSize)
 		if _, _, err := Parse(b, &c); err == nil {
@@ -75,6 +76,19 @@
 	}
 }
 
+// Guards against taking the start of one message for the end of another whose frame is announced too long.
+func TestFrameLongerThanItsMessageIsMalformed(t *testing.T) {
+	frame := submitFrame([][2]string{{"rid", "9b1f03aa5c7e2d41"}}, "abc")
+	for more := 1; more <= len(frame); more++ {
+		b := append(bytes.Clone(frame), frame[:more]...)
+		setFrame(b, len(b)-frameHeaderSize)
+		var c Call
+		if _, _, err := Parse(b, &c); !errors.Is(err, errTrailingBytes) {
+			t.Errorf("%d bytes too long: %v", more, err)
+		}
+	}
+}
+
 // Guards against rejecting clients that send fields which this version does not know.
 func TestUnknownFieldsAreSkipped(t *testing.T) {
 	b := appendMessage(nil, messageOneway, "revoke", 3)
--- a/internal/tools/fakes/client.go
+++ b/internal/tools/fakes/client.go
@@ -89,7 +89,7 @@
 // SendRandom sends one request of the class clips for a random one of the given number of objects.
 func (c *Client) SendRandom(objects int, timeout time.Duration) error {
 	object := rand.IntN(objects)
-	return c.SendRequest("clips", uint64(1+object), timeout, "group", fmt.Sprint(object%purgeGroups), "mem", "10")
+	return c.SendRequest("clips", uint64(1+object), timeout, "mem", "10")
 }
 
 // SendRequest sends one request of a class for an object. more holds additional fields as alternating names and values.
@@ -102,7 +102,7 @@
 	c.mu.Unlock()
 	fields := append([]string{
 		"method", class, "rid", fmt.Sprintf("%016x", rand.Uint64()), "budget", fmt.Sprint(timeout.Milliseconds()),
-		"obj", fmt.Sprintf("%016x", object), "part", "0",
+		"obj", fmt.Sprintf("%016x", object), "part", "0", "group", fmt.Sprint(object % purgeGroups),
 	}, more...)
 	message := appendSubmit(nil, seq, fields)
 	frame := binary.BigEndian.AppendUint32(nil, uint32(len(message)))
