Report events of the bulletin that lack a part, and ask again for missing ones

A director took the number of an answer without its items for done; events without number, content, target or time were skipped silently. Cause: a JSON field that is absent reads as zero, and only wrong types were reported. Change: Decode checks what each event must have and reports the rest as malformed; an answer that tells of events but has no items is a lost connection; an entry without a name is skipped alone (endpoint.malformed). The tests failed before: TestIncompleteEventsAreReported and TestResponseWithoutItsEventsIsNotApplied (polled after 5 instead of 1). TestResponseWithNothingNewIsAccepted passed before and after.

--- a/internal/director/apply_events.go
+++ b/internal/director/apply_events.go
@@ -42,6 +42,10 @@
 func (w *watchClient) applyEndpoints(list *discovery.EndpointList) {
 	endpoints := make([]routing.Endpoint, 0, len(list.Endpoints))
 	for _, e := range list.Endpoints {
+		if e.Name == "" {
+			slog.Error("endpoint.malformed", "version", list.Sequence, "addr", e.Address)
+			continue
+		}
 		readiness, known := readinessByState[e.Health]
 		if !known {
 			slog.Warn("endpoint.state_unknown", "host", e.Name, "state", e.Health)
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -160,6 +160,9 @@
 		return used, 0, fmt.Errorf("control plane responded with status %d", r.Status)
 	}
 	response, err := discovery.Decode(r.Body)
+	if err == nil && w.lacksEvents(response) {
+		err = errNoEvents
+	}
 	if err != nil {
 		return used, 0, err
 	}
@@ -173,6 +176,14 @@
 	return used, 0, nil
 }
 
+var errNoEvents = errors.New("the response tells of events but has none")
+
+// lacksEvents reports whether the events are missing from a response. Taking its revision for the last applied one would skip them.
+func (w *watchClient) lacksEvents(response discovery.WatchResponse) bool {
+	nothingNew := response.LastRevision > 0 && response.LastRevision <= w.appliedRevision
+	return response.Events == nil && len(response.Malformed) == 0 && !nothingNew
+}
+
 // handlePollResponse processes the response to the open poll.
 func (w *watchClient) handlePollResponse(response discovery.WatchResponse) {
 	w.retryDelay = w.timing().RetryMin
--- a/internal/director/watch_test.go
+++ b/internal/director/watch_test.go
@@ -231,3 +231,39 @@
 		}
 	})
 }
+
+// Guards against skipping events because a response that announces them does not have them.
+func TestResponseWithoutItsEventsIsNotApplied(t *testing.T) {
+	for _, text := range []string{`{"no":5}`, `{"no":5,"items":null}`, `{}`} {
+		t.Run(text, func(t *testing.T) {
+			c := newScriptedCache(t)
+			d := newTestDirector(t, c.host("s-1", "in_service"))
+			d.responses <- text
+			d.wantPoll("1")
+			d.publish(2, `"roster":{"seq":2,"whole":false,"hosts":[`+c.host("s-1", "terminated")+`]}`)
+		})
+	}
+}
+
+// Guards against closing the connection after each response that has nothing new.
+func TestResponseWithNothingNewIsAccepted(t *testing.T) {
+	c := newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	for _, text := range []string{`{"no":1,"items":[]}`, `{"no":1,"items":null}`, `{"no":1}`} {
+		d.responses <- text
+		d.wantPoll("1")
+	}
+	d.onLoop(func() {
+		if d.program.watch.failing {
+			t.Error("a response was taken for a failure")
+		}
+	})
+}
+
+// Guards against using an endpoint that has no name.
+func TestEndpointWithoutNameIsSkipped(t *testing.T) {
+	c, other := newScriptedCache(t), newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	d.publish(2, `"roster":{"seq":2,"whole":true,"hosts":[`+c.host("", "in_service")+`,`+other.host("s-2", "in_service")+`]}`)
+	d.wantServedBy(other)
+}
--- a/internal/protocol/discovery/client_test.go
+++ b/internal/protocol/discovery/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"testing"
 )
 
@@ -44,6 +45,38 @@
 	}
 }
 
+// Guards against applying an event that lacks a part as if it were about nothing: a purge or a drain would be skipped silently, and
+// all endpoints would count as gone.
+func TestIncompleteEventsAreReported(t *testing.T) {
+	for text, want := range map[string]error{
+		`{"roster":{"seq":1,"whole":true,"hosts":[]}}`: errNoRevision,
+		`{"no":7}`: errNoContent,
+		`null`:     errNoRevision,
+		`{"no":7,"roster":{"seq":1,"whole":true}}`:                             errNoEndpoints,
+		`{"no":7,"recall":{"issued":1764576000123}}`:                           errNoTarget,
+		`{"no":7,"recall":{"item":"7f3a9c21e0b4d655"}}`:                        errNoTime,
+		`{"no":7,"recall":{"lot":0}}`:                                          errNoTime,
+		`{"no":7,"roster":{"seq":1,"whole":true,"hosts":[]}}`:                  nil,
+		`{"no":7,"roster":{"seq":1,"whole":false}}`:                            nil, // nothing has changed
+		`{"no":7,"recall":{"lot":0,"issued":1764576000123}}`:                   nil,
+		`{"no":7,"recall":{"item":"7f3a9c21e0b4d655","issued":1764576000123}}`: nil,
+		`{"no":7,"roll":{"whole":true}}`:                                       nil,
+	} {
+		r, err := Decode([]byte(`{"no":9,"items":[` + text + `,{"no":9,"recall":{"lot":1,"issued":1}}]}`))
+		if err != nil || r.Events[len(r.Events)-1].Revision != 9 {
+			t.Errorf("%s: %v, %+v", text, err, r.Events)
+			continue
+		}
+		var got error
+		if len(r.Malformed) > 0 {
+			got = r.Malformed[0]
+		}
+		if !errors.Is(got, want) || len(r.Events)+len(r.Malformed) != 2 {
+			t.Errorf("%s: got %v, want %v", text, got, want)
+		}
+	}
+}
+
 func FuzzParseResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
--- a/internal/protocol/discovery/messages.go
+++ b/internal/protocol/discovery/messages.go
@@ -9,6 +9,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -40,7 +41,7 @@
 // WatchResponse is the response to a watch request. The events that a director loads when it starts have the same form.
 type WatchResponse struct {
 	LastRevision     int64           `json:"no"`
-	Events           []Event         `json:"items"`
+	Events           []Event         `json:"items"`             // nil: the response does not have the field
 	QuotaGrant       json.RawMessage `json:"turns,omitempty"`   // for this client only; see package quota
 	AggregatedHealth json.RawMessage `json:"signals,omitempty"` // for clients that send health reports; see package health
 	Malformed        []error         `json:"-"`                 // one error per malformed event, which is not in Events
@@ -123,30 +124,76 @@
 	ReadyShards        []int64         `json:"complete,omitempty"` // pairs of a shard's number and the epoch in which it is ready
 }
 
-// Decode decodes a WatchResponse. A malformed event does not prevent the other events from being decoded; it is reported in
-// Malformed.
+// Errors of events that lack a part. Without it they would be applied as if they were about nothing.
+var (
+	errNoRevision  = errors.New("discovery: the event has no number")
+	errNoContent   = errors.New("discovery: the event has neither an endpoint list nor a purge")
+	errNoEndpoints = errors.New("discovery: the complete list has no endpoints, not even an empty list of them")
+	errNoTarget    = errors.New("discovery: the purge names neither an object nor a group")
+	errNoTime      = errors.New("discovery: the purge has no time")
+)
+
+// checkComplete returns an error if a required part of the event is missing.
+func (e Event) checkComplete() error {
+	switch {
+	case e.Revision <= 0:
+		return errNoRevision
+	case e.Endpoints == nil && e.Purge == nil && e.Membership == nil:
+		return errNoContent
+	case e.Endpoints != nil && e.Endpoints.Snapshot && e.Endpoints.Endpoints == nil:
+		return errNoEndpoints
+	case e.Purge != nil && e.Purge.Object == "" && e.Purge.Group == nil:
+		return errNoTarget
+	case e.Purge != nil && e.Purge.IssuedMS <= 0:
+		return errNoTime
+	}
+	return nil
+}
+
+// Decode decodes a WatchResponse. An event that is malformed or incomplete does not prevent the other events from being decoded; it
+// is reported in Malformed.
 func Decode(b []byte) (WatchResponse, error) {
 	var r WatchResponse
-	err := json.Unmarshal(b, &r)
-	if err == nil {
-		return r, nil
+	if err := json.Unmarshal(b, &r); err != nil {
+		return decodeEachEvent(b)
+	}
+	complete := r.Events[:0]
+	for _, event := range r.Events {
+		if err := event.checkComplete(); err != nil {
+			r.addMalformed(event, err)
+			continue
+		}
+		complete = append(complete, event)
 	}
+	r.Events = complete
+	return r, nil
+}
+
+// decodeEachEvent decodes a response of which some events are malformed. It takes longer than decoding it as a whole.
+func decodeEachEvent(b []byte) (WatchResponse, error) {
 	var raw struct {
 		WatchResponse
 		Events []json.RawMessage `json:"items"`
 	}
-	if json.Unmarshal(b, &raw) != nil {
+	if err := json.Unmarshal(b, &raw); err != nil {
 		return WatchResponse{}, fmt.Errorf("discovery: decode response: %w", err)
 	}
-	r = raw.WatchResponse
-	r.Events = nil
+	r := raw.WatchResponse
 	for _, text := range raw.Events {
 		var event Event
-		if err := json.Unmarshal(text, &event); err != nil {
-			r.Malformed = append(r.Malformed, fmt.Errorf("event %d: %w", event.Revision, err))
+		err := json.Unmarshal(text, &event)
+		if err == nil {
+			err = event.checkComplete()
+		}
+		if err != nil {
+			r.addMalformed(event, err)
 			continue
 		}
 		r.Events = append(r.Events, event)
 	}
 	return r, nil
 }
+
+func (r *WatchResponse) addMalformed(event Event, err error) {
+	r.Malformed = append(r.Malformed, fmt.Errorf("event %d: %w", event.Revision, err))
+}
