Refuse messages of claims that lack the claims they are about

A request with a token could have run in two groups of caches. Cause: an array announced too short counted as a message with fewer claims before the rest of the connection turned out unreadable, so that a replica confirmed claims that it had not got; a verdict without its claim was taken with no group and the age 0. Change: what follows a message in the same read must be the start of another; a verdict that must name a claim and does not is none.

--- a/internal/claims/request.go
+++ b/internal/claims/request.go
@@ -70,7 +70,8 @@
 	if r == nil {
 		return
 	}
-	if m.Verdict == RetryLater {
+	isIncomplete := m.verdictNeedsClaim() && len(m.Claims) != 1
+	if m.Verdict == RetryLater || isIncomplete {
 		r.awaitingReply = false
 		return
 	}
@@ -82,6 +83,9 @@
 	n.finishRequest(m.Seq, o)
 }
 
+// verdictNeedsClaim reports whether a reply with the message's verdict includes the claim that the verdict is about.
+func (m Message) verdictNeedsClaim() bool { return m.Verdict == Granted || m.Verdict == HeldElsewhere }
+
 // finishRequest ends a request with an outcome.
 func (n *Node) finishRequest(seq uint64, o Outcome) {
 	delete(n.requests, seq)
--- a/internal/director/claims_conn.go
+++ b/internal/director/claims_conn.go
@@ -24,7 +24,10 @@
 	claimsMessage = "claims" // a claims.Message
 )
 
-var errUnknownClaimsMessage = errors.New("claims: unknown message")
+var (
+	errUnknownClaimsMessage = errors.New("claims: unknown message")
+	errClaimsArrayLength    = errors.New("claims: message does not end at its announced length")
+)
 
 // listen starts the listener for connections from other directors.
 func (s *claimsService) listen() error {
@@ -172,6 +175,10 @@
 			return used, need, err
 		}
 		used += n
+		// An array that is announced too short must not be taken for a message with fewer claims.
+		if used < len(b) && b[used] != resp.ArrayPrefix {
+			return used, 0, errClaimsArrayLength
+		}
 		if err := c.receiveMessage(words); err != nil {
 			return used, 0, err
 		}
--- a/internal/protocol/resp/resp.go
+++ b/internal/protocol/resp/resp.go
@@ -16,6 +16,9 @@
 	maxLine     = 16      // bytes in a line with a count, including its prefix and line end
 )
 
+// ArrayPrefix is the first byte of every message.
+const ArrayPrefix = '*'
+
 var (
 	errBulkLength        = errors.New("resp: bulk string does not end at its declared length")
 	errUnterminatedCount = errors.New("resp: count is not terminated")
@@ -28,7 +31,7 @@
 // that it used. If the array is incomplete, used is 0 and need is the minimum length of b at which it can be complete.
 func Parse(b []byte, words Words) (w Words, used, need int, err error) {
 	words = words[:0]
-	count, at, need, err := parseCount(b, 0, '*', maxElements)
+	count, at, need, err := parseCount(b, 0, ArrayPrefix, maxElements)
 	if err != nil || need > 0 {
 		return words, 0, need, err
 	}
@@ -105,7 +108,7 @@
 }
 
 // AppendHead appends the header of an array of n bulk strings.
-func AppendHead(b []byte, n int) []byte { return appendCount(b, '*', n) }
+func AppendHead(b []byte, n int) []byte { return appendCount(b, ArrayPrefix, n) }
 
 // AppendBulk appends one bulk string.
 func AppendBulk[T string | []byte](b []byte, v T) []byte {
