Take a relay's lease only from a whole answer to its last request

Directors behind a relay could have missed purges and drains while it held a lease. Cause: applyAnswer renewed the lease whatever else the answer lacked. The test failed before: TestIncompleteAnswerGrantsNoLease, both cases answered a director with 200.

--- a/internal/controlplane/relayserver/server.go
+++ b/internal/controlplane/relayserver/server.go
@@ -160,16 +160,22 @@
 }
 
 // applyAnswer applies the answer to a request. requestedAt is the time just before the request was created. It reports whether the
-// next request should be sent immediately.
+// next request should be sent immediately. An answer that does not name its request, or grants a lease without the events that the
+// relay lacks, does not renew the lease.
 func (s *Server) applyAnswer(a relaysession.Answer, requestedAt time.Duration) (immediate bool) {
 	if err := s.applyEvents(a); err != nil {
 		s.resetEventLog(err)
 		return false
 	}
 	now := replicas.Now()
+	answersLast := s.session.IsLast(a)
 	if s.session.HandleAnswer(a, now) {
 		defer s.watches.PublishHealth()
 	}
+	if !answersLast || a.Revision > s.events.fleet.Revision && a.LeaseMS > 0 {
+		slog.Error("relay.answer_incomplete", "name", s.settings.Name, "revision", a.Revision, "applied", s.events.fleet.Revision)
+		return false
+	}
 	if a.LeaseMS > 0 {
 		length := min(relaysession.Lease, time.Duration(a.LeaseMS)*time.Millisecond)
 		s.lease.Renew(replica.Lease{Length: length, Drift: discovery.ClockDrift}, requestedAt)
--- a/internal/controlplane/relayserver/server_test.go
+++ b/internal/controlplane/relayserver/server_test.go
@@ -298,3 +298,31 @@
 		t.Errorf("after a gap: error %v, revision %d", err, l.fleet.Revision)
 	}
 }
+
+// Guards against serving directors after an answer with parts missing: a lease without the events that the relay lacks, or an answer
+// that does not say to which request it is.
+func TestIncompleteAnswerGrantsNoLease(t *testing.T) {
+	for name, spoil := range map[string]func(*relaysession.Answer){
+		"no events":   func(a *relaysession.Answer) { a.Events, a.Snapshot = nil, nil },
+		"no sequence": func(a *relaysession.Answer) { a.Sequence = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole := leaderAnswer(purges(1, 7), 100)
+			l := newReplica(t, func(q relaysession.Request) (int, any) {
+				status, out := whole(q)
+				answer := out.(relaysession.Answer)
+				spoil(&answer)
+				return status, answer
+			})
+			r := startRelay(t, l)
+			l.waitForRequest(t, "some requests", func(q relaysession.Request) bool { return q.Sequence > 2 })
+			if _, status := dialOnce(t, r); status != http.StatusServiceUnavailable {
+				t.Errorf("a relay whose answers are incomplete answered with status %d, want 503", status)
+			}
+			l.setAnswer(whole)
+			if w := dialUntilServed(t, r); w.Revision != 7 {
+				t.Errorf("the first answer ends at event %d, want 7", w.Revision)
+			}
+		})
+	}
+}
--- a/internal/controlplane/relaysession/session.go
+++ b/internal/controlplane/relaysession/session.go
@@ -244,10 +244,15 @@
 	}
 }
 
+// IsLast reports whether an answer is to the last request and was not applied before.
+func (s *Session) IsLast(a Answer) bool {
+	return a.Sequence == s.sequence && a.Sequence != s.answeredSequence
+}
+
 // HandleAnswer applies the answer to the last request. It ignores answers to earlier requests and duplicate answers. It reports
 // whether the aggregated health has changed, in which case the caller must answer the waiting directors.
 func (s *Session) HandleAnswer(a Answer, now time.Duration) (healthChanged bool) {
-	if a.Sequence != s.sequence || a.Sequence == s.answeredSequence {
+	if !s.IsLast(a) {
 		return false
 	}
 	s.answeredSequence = a.Sequence
