Split the clients' side of the director by concern, and share a test's setup

Change: answers are in client_answers.go, admission and eviction in eviction.go, constants stand beside what uses them; the tests of slow readers share their setup. Moves only; doc.go names the files.

--- a/internal/director/delivery.go
+++ b/internal/director/delivery.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// inTransitBytes is the number of bytes that may be unacknowledged although the client reads at once.
+const inTransitBytes = 128 << 10
+
 // delivery follows how a client takes what was written to its connection.
 type delivery struct {
 	bytes      int64         // delivered when it was last checked, see transport.Conn.Delivered
--- a/internal/director/doc.go
+++ b/internal/director/doc.go
@@ -1,7 +1,9 @@
 // Package director implements the director process, a load balancer between clients and caches.
 //
-// It connects the clients' protocol (frontend.go, client_conn.go) and the caches' protocol (cache_conn.go) to the routing of
-// requests (package routing), using the connections of one transport.Loop. The other components are:
+// It connects the clients' protocol (frontend.go, client_conn.go, client_answers.go) and the caches' protocol (cache_conn.go) to the
+// routing of requests (package routing), using the connections of one transport.Loop. The other components are:
+//   - the limits of what clients may hold: their connections (eviction.go) and the output that they have not read (unread.go,
+//     delivery.go);
 //   - the watch of the event stream, which delivers endpoint lists and purges (watch.go, apply_events.go);
 //   - the membership, which announces the director with each poll of the event stream (membership.go), its leased quotas
 //     (quota.go) and its health reports (health.go);
--- a/internal/director/slow_close_test.go
+++ b/internal/director/slow_close_test.go
@@ -30,6 +30,26 @@
 	return r
 }
 
+// newTestDirectorWithSlowReader starts a director with one cache and a client that reads slowly, see serveSlowReader.
+func newTestDirectorWithSlowReader(t *testing.T) (*testDirector, *slowReader) {
+	c := newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	_, upstream := d.serveFirstRequest(c)
+	return d, d.serveSlowReader(upstream)
+}
+
+// waitExit waits until the director's shutdown is complete.
+func (d *testDirector) waitExit() {
+	d.t.Helper()
+	select {
+	case err := <-d.exited:
+		d.exited <- err
+		must(d.t, err)
+	case <-time.After(testTimeout):
+		d.t.Fatal("the director does not exit")
+	}
+}
+
 // wantAllAnswers reads the answers of serveSlowReader. After a while it sends a cancel, which a client may do at any time.
 func (r *slowReader) wantAllAnswers() {
 	r.t.Helper()
@@ -53,10 +73,7 @@
 
 // Guards against resetting a connection that was closed gracefully while its client still reads the answers.
 func TestSlowReaderGetsAllAnswersAfterClose(t *testing.T) {
-	c := newScriptedCache(t)
-	d := newTestDirector(t, c.host("s-1", "in_service"))
-	_, upstream := d.serveFirstRequest(c)
-	r := d.serveSlowReader(upstream)
+	d, r := newTestDirectorWithSlowReader(t)
 	d.onLoop(func() {
 		for f := range d.program.frontend.clients {
 			f.closeGracefully()
@@ -67,36 +84,18 @@
 
 // Guards against ending the process while a client still reads its last answers.
 func TestShutdownWaitsForSlowReader(t *testing.T) {
-	c := newScriptedCache(t)
-	d := newTestDirector(t, c.host("s-1", "in_service"))
-	_, upstream := d.serveFirstRequest(c)
-	r := d.serveSlowReader(upstream)
+	d, r := newTestDirectorWithSlowReader(t)
 	d.onLoop(d.shutdownWithoutDrainTime)
 	r.wantAllAnswers()
 	must(t, r.conn.Close())
-	select {
-	case err := <-d.exited:
-		d.exited <- err
-		must(t, err)
-	case <-time.After(testTimeout):
-		t.Fatal("the director does not exit")
-	}
+	d.waitExit()
 }
 
 // Guards against waiting at the shutdown for a client that reads nothing.
 func TestShutdownEndsWithClientThatReadsNothing(t *testing.T) {
-	c := newScriptedCache(t)
-	d := newTestDirector(t, c.host("s-1", "in_service"))
-	_, upstream := d.serveFirstRequest(c)
-	d.serveSlowReader(upstream)
+	d, _ := newTestDirectorWithSlowReader(t)
 	d.onLoop(d.shutdownWithoutDrainTime)
-	select {
-	case err := <-d.exited:
-		d.exited <- err
-		must(t, err)
-	case <-time.After(testTimeout):
-		t.Fatal("the director does not exit")
-	}
+	d.waitExit()
 }
 
 // Guards against taking a client that still reads its answers for an unused one: it learns of the close only after them, and the
@@ -130,10 +129,7 @@
 
 // Guards against a lingering connection that is closed for a new client before its own client has read the answers.
 func TestLingeringSlowReaderIsNotEvicted(t *testing.T) {
-	c := newScriptedCache(t)
-	d := newTestDirector(t, c.host("s-1", "in_service"))
-	_, upstream := d.serveFirstRequest(c)
-	r := d.serveSlowReader(upstream)
+	d, r := newTestDirectorWithSlowReader(t)
 	d.onLoop(func() {
 		for f := range d.program.frontend.clients {
 			if f.conn.Undelivered() > inTransitBytes {
