Bound the waits for slow readers, and close no unused connection in vain

Change: evict looks for room first; the shutdown waits for clients no longer than they wait for answers; the limit is at least one object of the largest size. The tests failed before: TestUnusedConnectionIsNotClosedInVain and TestLargestObjectFitsWithLittleMemory. TestShutdownIsBoundedInTime is new.

--- a/internal/director/eviction.go
+++ b/internal/director/eviction.go
@@ -49,13 +49,16 @@
 		}
 	}
 	for len(f.clients) >= f.maxClients {
+		if len(f.clients) >= f.maxClients+maxLingering { // to close another would make no room yet
+			return false
+		}
 		c := f.longestIdle()
 		if c == nil {
 			return false
 		}
 		if c.closeIfUnused() { // otherwise a request has just arrived, or the client disconnected
 			f.Counters.Evicted++
-			return len(f.clients) < f.maxClients+maxLingering
+			return true
 		}
 	}
 	return true
--- a/internal/director/frontend.go
+++ b/internal/director/frontend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"stairvane.org/stairvane/internal/director/routing"
+	"stairvane.org/stairvane/internal/protocol/resp"
 	"stairvane.org/stairvane/internal/protocol/thrift"
 	"stairvane.org/stairvane/internal/transport"
 )
@@ -79,7 +80,7 @@
 		idleTimeout:        limits.idleTimeout,
 		stuckTimeout:       max(stuckTimeout, limits.routing.MaxDeadline),
 		firstAnswerTimeout: firstAnswerTimeout,
-		maxQueuedBytes:     memory / queuedMemoryDivisor,
+		maxQueuedBytes:     max(memory/queuedMemoryDivisor, resp.MaxBulk),
 		maxBodyBytes:       memory / bodyMemoryDivisor,
 	}
 	newHandler := func() transport.Handler {
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -49,7 +49,7 @@
 }
 
 // clientsDone reports whether all requests have been answered, and the clients have disconnected, or lastAnswerTimeout has passed
-// and no client is still receiving answers.
+// and no client is still receiving answers. It does not wait longer than clients wait for their answers.
 func (p *Program) clientsDone(now time.Duration) bool {
 	if p.idleSince == 0 {
 		return false
@@ -57,7 +57,8 @@
 	if len(p.frontend.clients) == 0 {
 		return true
 	}
-	return now-p.idleSince >= lastAnswerTimeout && p.frontend.isDelivered()
+	idle := now - p.idleSince
+	return idle >= lastAnswerTimeout && p.frontend.isDelivered() || idle >= p.frontend.stuckTimeout
 }
 
 // announceLeaving announces, on its first call, that the director leaves with no work in flight. It reports whether the
--- a/internal/director/slow_close_test.go
+++ b/internal/director/slow_close_test.go
@@ -150,6 +150,42 @@
 	r.wantAllAnswers()
 }
 
+// Guards against closing unused connections for new clients while lingering ones leave no room for these.
+func TestUnusedConnectionIsNotClosedInVain(t *testing.T) {
+	c := newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	unused, upstream := d.serveFirstRequest(c)
+	r := d.serveSlowReader(upstream)
+	d.onLoop(func() {
+		for f := range d.program.frontend.clients {
+			if f.conn.Undelivered() > inTransitBytes {
+				f.closeGracefully()
+			}
+		}
+		d.program.frontend.maxClients = 1
+	})
+	late := d.client()
+	late.readToEnd()
+	unused.submit(requestB, objectB)
+	id, _ := upstream.request()
+	upstream.answer(id, "OK", objectFields, "b")
+	unused.want(2, 0, "b")
+	r.wantAllAnswers()
+}
+
+// Guards against a shutdown that waits for good for a client that reads next to nothing.
+func TestShutdownIsBoundedInTime(t *testing.T) {
+	d, r := newTestDirectorWithSlowReader(t)
+	d.onLoop(func() { d.program.frontend.stuckTimeout = lastAnswerTimeout + 200*time.Millisecond })
+	d.onLoop(d.shutdownWithoutDrainTime)
+	begin := time.Now()
+	go r.readAnswers(slowObjects) // takes longer than that
+	d.waitExit()
+	if took := time.Since(begin); took > 2*(lastAnswerTimeout+200*time.Millisecond) {
+		t.Errorf("the shutdown took %v", took)
+	}
+}
+
 // Guards against keeping connections, and so descriptors, of clients that read nothing: they may be evicted once they are stalled.
 func TestStalledClientIsEvicted(t *testing.T) {
 	c := newScriptedCache(t)
--- a/internal/director/unread.go
+++ b/internal/director/unread.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// Answers that wait for slow clients may use the memory limit divided by queuedMemoryDivisor, see unreadLimits, and bodies of
-	// requests in flight the limit divided by bodyMemoryDivisor. Together they leave most of the memory for everything else.
+	// Answers that wait for slow clients may use the memory limit divided by queuedMemoryDivisor, see unreadLimits, but at least
+	// the size of the largest object; and bodies of requests in flight may use the limit divided by bodyMemoryDivisor. Together
+	// they leave most of the memory for everything else.
 	queuedMemoryDivisor = 10
 	bodyMemoryDivisor   = 8
 	// stalledTimeout is the time for which a client must have read nothing before it may be closed because memory is short.
--- a/internal/director/unread_test.go
+++ b/internal/director/unread_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"stairvane.org/stairvane/internal/protocol/resp"
 )
 
 // slowReader is a client that reads its answers at a limited rate.
@@ -267,6 +269,20 @@
 	})
 }
 
+// Guards against limits so low that no large object can be served: cores divide the memory.
+func TestLargestObjectFitsWithLittleMemory(t *testing.T) {
+	c := newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	config := d.program.config
+	config.MemoryMB = 1
+	small, err := New(config)
+	must(t, err)
+	defer small.loop.Release()
+	if limits := small.frontend.unreadLimits(); !limits.fits(resp.MaxBulk, 0, unreadUsage{}) {
+		t.Errorf("%d bytes do not fit %+v", resp.MaxBulk, limits)
+	}
+}
+
 // Guards against counting a client as stalled that had nothing to read, or that reads.
 func TestDeliveryCountsOnlyUnreadTime(t *testing.T) {
 	var d delivery
