Do not count a client that sends as one that reads

Cause: on reading the change again: a client with answers on their way counted as reading as long as it sent anything, so that one that reads nothing could hold its descriptor and a shutdown. The test failed before: TestStalledClientIsEvicted/sends=true (no client is evicted); it is a second case beside the one of a silent client.

--- a/internal/director/client_answers.go
+++ b/internal/director/client_answers.go
@@ -8,18 +8,9 @@
 	"stairvane.org/stairvane/internal/protocol/thrift"
 )
 
-// write writes to the connection and follows how the client reads it.
-func (c *clientConn) write(parts ...[]byte) {
-	wasRead := c.conn.Queued() == 0
-	c.conn.Write(parts...)
-	if wasRead && c.conn.Queued() > 0 {
-		c.delivery.restart(c.conn.Delivered(), c.frontend.loop.Now())
-	}
-}
-
 // reply writes a reply without an object. It may close the connection.
 func (c *clientConn) reply(parts ...[]byte) {
-	c.write(parts...)
+	c.conn.Write(parts...)
 	if c.conn.Queued() == 0 {
 		return
 	}
@@ -40,7 +31,7 @@
 	c.removeRequest(r)
 	f := c.frontend
 	f.head, f.tail = thrift.AppendAnswer(f.head[:0], f.tail[:0], thrift.Submit, r.SequenceNumber, len(body), true)
-	c.write(f.head, body, f.tail)
+	c.conn.Write(f.head, body, f.tail)
 	c.closeIfDrained()
 	return true
 }
--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -97,9 +97,12 @@
 // isReading reports whether the client is still receiving answers that the kernel has accepted. It would learn of a close only
 // after the last of them, and requests that it sends until then would be lost.
 func (c *clientConn) isReading() bool {
-	now := c.frontend.loop.Now()
-	stalledFor := min(c.delivery.stalledFor(now), now-c.conn.LastUse())
-	return c.conn.Undelivered() > inTransitBytes && stalledFor < stalledTimeout
+	return c.conn.Undelivered() > inTransitBytes && c.delivery.stalledFor(c.frontend.loop.Now()) < stalledTimeout
+}
+
+// checkDelivery records how much the client has taken by now.
+func (c *clientConn) checkDelivery() {
+	c.delivery.check(c.conn.Delivered(), c.conn.Undelivered(), c.frontend.loop.Now())
 }
 
 // stuckReason tells why a connection was closed with unread answers. Its values are those of the attribute reason in the log.
@@ -115,7 +118,7 @@
 func (c *clientConn) closeStuck(reason stuckReason) {
 	f := c.frontend
 	f.Counters.Stuck++
-	c.delivery.check(c.conn.Delivered(), f.loop.Now())
+	c.checkDelivery()
 	slog.Warn("client.stuck", "reason", reason, "queued_bytes", c.conn.Queued(), "open", len(c.inFlight),
 		"unread_ms", c.delivery.stalledFor(f.loop.Now()).Milliseconds(), "queued_by_all", f.loop.Queued())
 	c.conn.Close()
--- a/internal/director/eviction.go
+++ b/internal/director/eviction.go
@@ -24,6 +24,7 @@
 func (f *frontend) admit(conn *transport.Conn, c *clientConn) {
 	c.conn = conn
 	c.openedAt = f.loop.Now()
+	c.checkDelivery()
 	if len(f.clients) >= f.maxClients && !f.evict() {
 		f.Counters.Rejected++
 		slog.Warn("client.rejected", "connections", len(f.clients))
--- a/internal/director/frontend.go
+++ b/internal/director/frontend.go
@@ -108,7 +108,7 @@
 
 func (f *frontend) sweepClient(c *clientConn, now time.Duration) {
 	unused := now - c.conn.LastUse()
-	c.delivery.check(c.conn.Delivered(), now)
+	c.checkDelivery()
 	switch {
 	case c.conn.Queued() > 0 && c.delivery.stalledFor(now) >= f.stuckTimeout:
 		c.closeStuck(stuckUnread)
--- a/internal/director/slow_close_test.go
+++ b/internal/director/slow_close_test.go
@@ -186,27 +186,33 @@
 	}
 }
 
-// Guards against keeping connections, and so descriptors, of clients that read nothing: they may be evicted once they are stalled.
+// Guards against keeping connections, and so descriptors, of clients that read nothing, whether they send or not: they may be evicted
+// once they are stalled.
 func TestStalledClientIsEvicted(t *testing.T) {
-	c := newScriptedCache(t)
-	d := newTestDirector(t, c.host("s-1", "in_service"))
-	first, upstream := d.serveFirstRequest(c)
-	d.serveSlowReader(upstream)
-	must(t, first.conn.Close())
-	d.onLoop(func() { d.program.frontend.maxClients = 1 })
-	for begin := time.Now(); ; time.Sleep(50 * time.Millisecond) {
-		if time.Since(begin) > 2*stalledTimeout {
-			t.Fatal("no client is evicted")
-		}
-		evicted := int64(0)
-		late := d.client()
-		d.onLoop(func() { evicted = d.program.frontend.Counters.Evicted })
-		if evicted > 0 {
+	for _, sends := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sends=%t", sends), func(t *testing.T) {
+			c := newScriptedCache(t)
+			d := newTestDirector(t, c.host("s-1", "in_service"))
+			first, upstream := d.serveFirstRequest(c)
+			stalled := d.serveSlowReader(upstream)
+			must(t, first.conn.Close())
+			d.onLoop(func() { d.program.frontend.maxClients = 1 })
+			evicted := int64(0)
+			var late *scriptedConn
+			for begin := time.Now(); evicted == 0; time.Sleep(50 * time.Millisecond) {
+				if time.Since(begin) > 2*stalledTimeout {
+					t.Fatal("no client is evicted")
+				}
+				if sends {
+					stalled.write(stalled.call(4, "revoke", "\x08\x00\x01"+be32(99)))
+				}
+				late = d.client()
+				d.onLoop(func() { evicted = d.program.frontend.Counters.Evicted })
+			}
 			late.submit(requestC, objectB)
 			id, _ := upstream.request()
 			upstream.answer(id, "OK", objectFields, "c")
 			late.want(1, 0, "c")
-			return
-		}
+		})
 	}
 }
--- a/internal/director/unread_test.go
+++ b/internal/director/unread_test.go
@@ -285,18 +285,20 @@
 
 // Guards against counting a client as stalled that had nothing to read, or that reads.
 func TestDeliveryCountsOnlyUnreadTime(t *testing.T) {
-	var d delivery
-	d.restart(100, 5*time.Second)
-	d.check(100, 6*time.Second)
-	if got := d.stalledFor(7 * time.Second); got != 2*time.Second {
+	const unread = 1
+	d := delivery{}
+	d.check(0, 0, 4*time.Second) // everything is delivered
+	d.check(0, unread, 5*time.Second)
+	if got := d.stalledFor(6 * time.Second); got != 2*time.Second {
 		t.Errorf("stalled for %v", got)
 	}
-	d.check(101, 8*time.Second)
-	if got := d.stalledFor(8 * time.Second); got != 0 {
+	d.check(1, unread, 7*time.Second)
+	if got := d.stalledFor(7 * time.Second); got != 0 {
 		t.Errorf("stalled for %v although it reads", got)
 	}
-	d.restart(101, time.Minute)
-	if got := d.stalledFor(time.Minute); got != 0 {
-		t.Errorf("stalled for %v although it had nothing to read", got)
+	d.check(1, 0, time.Minute)
+	d.check(1, unread, time.Minute+time.Second)
+	if got := d.stalledFor(time.Minute + time.Second); got != time.Second {
+		t.Errorf("stalled for %v although it had nothing to read before", got)
 	}
 }
