Test the rejection of calls without room, and the bound of the shutdown

Cause: with the check of room taken out of submit, or the limit of time out of the shutdown, all tests still passed: the first was tested only as a rule, and the second test's client was ended by the wait after the close. Change: TestCallIsRejectedIfItsAnswerWouldNotFit is new; the client of TestShutdownIsBoundedInTime has output queued.

--- a/internal/director/slow_close_test.go
+++ b/internal/director/slow_close_test.go
@@ -173,15 +173,32 @@
 	r.wantAllAnswers()
 }
 
-// Guards against a shutdown that waits for good for a client that reads next to nothing.
+// Guards against a shutdown that waits without end for a client that reads slowly and has output queued.
 func TestShutdownIsBoundedInTime(t *testing.T) {
-	d, r := newTestDirectorWithSlowReader(t)
-	d.onLoop(func() { d.program.frontend.stuckTimeout = lastAnswerTimeout + 200*time.Millisecond })
+	const limit = lastAnswerTimeout + 200*time.Millisecond
+	c := newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	_, upstream := d.serveFirstRequest(c)
+	r := d.serveSlowReader(upstream)
+	const more = 25 // more than the kernel's buffers take
+	for n := range more {
+		r.submit(fmt.Sprintf("%016x", 0xd000+n), objectA)
+		id, _ := upstream.request()
+		upstream.answer(id, "OK", objectFields, strings.Repeat("x", slowObject))
+	}
+	queued := 0
+	for answered := false; !answered; {
+		d.onLoop(func() { answered, queued = d.program.director.InFlight() == 0, d.program.loop.Queued() })
+	}
+	if queued < slowRate {
+		t.Fatalf("%d bytes are queued, which the client reads in time", queued)
+	}
+	d.onLoop(func() { d.program.frontend.stuckTimeout = limit })
 	d.onLoop(d.shutdownWithoutDrainTime)
 	begin := time.Now()
-	go r.readAnswers(slowObjects) // takes longer than that
+	go r.readAnswers(slowObjects + more)
 	d.waitExit()
-	if took := time.Since(begin); took > 2*(lastAnswerTimeout+200*time.Millisecond) {
+	if took := time.Since(begin); took > 2*limit {
 		t.Errorf("the shutdown took %v", took)
 	}
 }
--- a/internal/director/unread_test.go
+++ b/internal/director/unread_test.go
@@ -140,6 +140,35 @@
 	})
 }
 
+// Guards against taking a request for whose answer there will be no room: it must be rejected before a cache is asked.
+func TestCallIsRejectedIfItsAnswerWouldNotFit(t *testing.T) {
+	c := newScriptedCache(t)
+	d := newTestDirector(t, c.host("s-1", "in_service"))
+	_, upstream := d.serveFirstRequest(c)
+	d.onLoop(func() { d.program.frontend.maxQueuedBytes = 1 << 20 })
+	client := d.client()
+	body := strings.Repeat("x", 240_000)
+	var counters FrontendCounters
+	for n := 1; counters.Shed+counters.Dropped == 0; n++ {
+		client.submit(fmt.Sprintf("%016x", 0xc000+n), objectA)
+		taken := int64(0)
+		for taken+counters.Shed < int64(n) {
+			d.onLoop(func() { taken, counters = d.program.director.Counters.Accepted-1, d.program.frontend.Counters })
+		}
+		if counters.Shed > 0 {
+			break
+		}
+		id, _ := upstream.request()
+		upstream.answer(id, "OK", objectFields, body)
+		for inFlight := 1; inFlight > 0; {
+			d.onLoop(func() { inFlight, counters = d.program.director.InFlight(), d.program.frontend.Counters })
+		}
+	}
+	if counters.Dropped != 0 || counters.Shed != 1 {
+		t.Errorf("%d answers dropped, %d calls shed", counters.Dropped, counters.Shed)
+	}
+}
+
 // Guards against memory that fills up with answers for clients that read nothing, however many there are, and against holding
 // their connections.
 func TestClientsThatReadNothingMeetTheLimits(t *testing.T) {
