--- a/review/standins-2/lib.go
+++ b/review/standins-2/lib.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,7 @@
 
 type cacheConn struct {
 	net.Conn
+	closed  atomic.Bool
 	mu      sync.Mutex
 	givenUp map[string]bool // attempts withdrawn by undo
 }
@@ -104,6 +106,7 @@
 
 func (c *cache) serve(conn *cacheConn) {
 	defer func() {
+		conn.closed.Store(true)
 		conn.Close()
 		c.mu.Lock()
 		delete(c.conns, conn)
@@ -305,6 +308,8 @@
 // bulletin is a stand-in for the platform's bulletin.
 type bulletin struct {
 	addr    string
+	server  *http.Server
+	conns   map[net.Conn]bool
 	mu      sync.Mutex
 	events  []map[string]any
 	changed chan struct{}
@@ -319,7 +324,13 @@
 	b.addr = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/bulletins", b.get)
-	go func() { _ = http.Serve(listener, mux) }()
+	b.conns = map[net.Conn]bool{}
+	b.server = &http.Server{Handler: mux, ConnState: func(c net.Conn, s http.ConnState) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.conns[c] = s != http.StateClosed
+	}}
+	go func() { _ = b.server.Serve(listener) }()
 	return b
 }
 
@@ -332,6 +343,21 @@
 	b.changed = make(chan struct{})
 }
 
+// breakAll breaks all connections.
+func (b *bulletin) breakAll() {
+	b.mu.Lock()
+	var open []net.Conn
+	for c, isOpen := range b.conns {
+		if isOpen {
+			open = append(open, c)
+		}
+	}
+	b.mu.Unlock()
+	for _, c := range open {
+		c.Close()
+	}
+}
+
 func (b *bulletin) since(after int) (body map[string]any, changed chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
