--- a/internal/director/program.go
+++ b/internal/director/program.go
@@ -91,6 +91,14 @@
 	return nil
 }
 
+// coreIndex returns the number of the core on which the program runs, from 0.
+func (p *Program) coreIndex() int {
+	if p.core == nil {
+		return 0
+	}
+	return p.core.index
+}
+
 // Addr returns the address on which the director listens for clients.
 func (p *Program) Addr() (netip.AddrPort, error) { return p.frontend.listener.Addr() }
 
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -44,7 +44,7 @@
 		p.loop.Set(&p.shutdownTimer, now+shutdownInterval)
 		return
 	}
-	slog.Info("director.stopped")
+	slog.Info("director.stopped", "core", p.coreIndex(), "revision", p.watch.appliedRevision)
 	p.loop.Stop()
 }
 
