Let the core that watches the event stream end last, and hand its watch on if it fails

Cause: each core ended once its own requests were answered. Only the first one watches and publishes to the others. Evidence: core 0 stopped at revision 1 before the purge was told, core 2 at revision 1 more than a second after it; so nothing was published, and the other explanation, a core that does not apply what is published, falls away.

Why this works: the core that watches may stop only when no other core runs (watchOwner), and stopping is recorded under the same lock. If it panics or its loop fails, another running core takes over after the last revision that it applied. Process end is as late as before.

--- a/internal/director/group.go
+++ b/internal/director/group.go
@@ -41,6 +41,7 @@
 	cores           []*core
 	events          *events.Log[publishedEvents]
 	owners          *owners.Table
+	watchOwner      *watchOwner
 	slowStartBudget *budget.Ledger
 	healthy         atomic.Bool
 }
@@ -57,6 +58,7 @@
 	g := &Group{
 		events:          events.New[publishedEvents](),
 		owners:          owners.New(),
+		watchOwner:      newWatchOwner(cores),
 		slowStartBudget: budget.New(cores, peakRateDecayDeadlines*maxDeadline),
 	}
 	g.healthy.Store(true)
@@ -112,8 +114,8 @@
 	return c
 }
 
-// Run serves until all cores have shut down. If a core panics, the others shut down gracefully, and the panic is returned as
-// an error.
+// Run serves until all cores have shut down. If a core panics or fails, the others shut down gracefully, and the panic or error is
+// returned.
 func (g *Group) Run() error {
 	if len(g.cores) == 1 {
 		return g.cores[0].prog.Run()
@@ -135,13 +137,23 @@
 		if r := recover(); r != nil {
 			slog.Error("core.panicked", "core", c.index, "panic", fmt.Sprint(r), "stack", string(debug.Stack()))
 			err = fmt.Errorf("core %d: %v", c.index, r)
-			g.healthy.Store(false)
-			g.Shutdown()
 		}
+		g.coreEnded(c, err)
 	}()
 	return c.prog.Run()
 }
 
+// coreEnded hands the watch of the event stream on if the core that ended had it, and shuts the others down if the core failed.
+func (g *Group) coreEnded(c *core, err error) {
+	if successor, ok := g.watchOwner.end(c.index); ok {
+		go g.cores[successor].prog.takeOverWatch()
+	}
+	if err != nil {
+		g.healthy.Store(false)
+		g.Shutdown()
+	}
+}
+
 // checkStalls marks the process as unhealthy, which clients see in heartbeats, while a core is stalled. It returns when stop
 // is closed.
 func (g *Group) checkStalls(stop <-chan struct{}) {
@@ -186,12 +198,21 @@
 // Shutdown starts the graceful shutdown on all cores.
 func (g *Group) Shutdown() { g.onAllCores((*Program).Shutdown) }
 
-// Reload applies a reloaded configuration. Only the first core needs it, since it alone watches the event stream.
+// Reload applies a reloaded configuration. The core that watches the event stream logs what changes; the others take the address
+// of the event stream, in case that one of them takes over.
 func (g *Group) Reload(c config.Config) {
 	c = divideLimits(c, len(g.cores))
-	first := g.cores[0].prog
-	c.Listen = first.config.Listen
-	first.Post(func() { first.Reload(c) })
+	owner := g.watchOwner.current()
+	address := c.Discovery
+	c.Listen = g.cores[owner].prog.config.Listen
+	for i, core := range g.cores {
+		p := core.prog
+		if i == owner {
+			go p.Post(func() { p.Reload(c) })
+			continue
+		}
+		go p.Post(func() { p.watch.switchAddress(address) })
+	}
 }
 
 // LogCounters logs the sum of the counters of all cores.
--- a/internal/director/group_harness_test.go
+++ b/internal/director/group_harness_test.go
@@ -21,6 +21,7 @@
 	caches    []*fakes.Cache
 	responses chan string
 	exited    chan error
+	wantError bool // Run must return an error
 }
 
 func newTestGroup(t *testing.T, cores, caches int) *testGroup {
@@ -30,8 +31,9 @@
 func newTestGroupWith(t *testing.T, cores, caches int, settings string) *testGroup {
 	g := &testGroup{t: t, responses: make(chan string, 8), exited: make(chan error, 1)}
 	stop := make(chan struct{})
-	controlPlane := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	controlPlane := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
+		case <-r.Context().Done(): // the core that watched has failed
 		case text := <-g.responses:
 			_, _ = fmt.Fprint(w, text) // the director polls again if it is lost
 		case <-stop:
@@ -59,14 +61,37 @@
 	go func() { g.exited <- g.group.Run() }()
 	t.Cleanup(func() {
 		g.group.Shutdown()
-		must(t, <-g.exited)
-		if n := g.group.owners.Len(); n > 0 {
+		if err := <-g.exited; (err != nil) != g.wantError {
+			t.Errorf("Run returned %v", err)
+		}
+		if n := g.group.owners.Len(); n > 0 && !g.wantError {
 			t.Errorf("%d IDs are in flight after the shutdown", n)
 		}
 	})
 	return g
 }
 
+// waitAllApplied waits until all cores have applied a revision.
+func (g *testGroup) waitAllApplied(revision int64) {
+	g.t.Helper()
+	for end := time.Now().Add(testTimeout); !g.allApplied(revision); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatal("the event did not reach all cores")
+		}
+	}
+}
+
+// allApplied reports whether all cores have applied a revision.
+func (g *testGroup) allApplied(revision int64) bool {
+	seen := make(chan bool, len(g.group.cores))
+	g.group.onAllCores(func(p *Program) { seen <- p.watch.appliedRevision >= revision })
+	all := true
+	for range g.group.cores {
+		all = <-seen && all
+	}
+	return all
+}
+
 func (g *testGroup) host(i int, health string) string {
 	return fmt.Sprintf(`{"host":"s-%d","dial":%q,"site":"west","class":"std","health":%q,"share":1}`, i, g.caches[i].Addr(), health)
 }
--- a/internal/director/group_test.go
+++ b/internal/director/group_test.go
@@ -70,20 +70,7 @@
 	silent := newScriptedCache(t) // the test answers
 	g := newTestGroup(t, 4, 1)
 	g.responses <- fmt.Sprintf(`{"no":2,"items":[{"no":2,"roster":{"seq":2,"whole":true,"hosts":[%s]}}]}`, silent.host("s-9", "in_service"))
-	seen := make(chan bool, 4)
-	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
-		g.group.onAllCores(func(p *Program) { seen <- p.watch.appliedRevision >= 2 })
-		all := true
-		for range 4 {
-			all = <-seen && all
-		}
-		if all {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("the event did not reach all cores")
-		}
-	}
+	g.waitAllApplied(2)
 	var peers []*scriptedConn
 	for range 16 {
 		conn, err := net.Dial("tcp", g.addr)
--- a/internal/director/program.go
+++ b/internal/director/program.go
@@ -117,6 +117,14 @@
 // Post schedules f to run on the loop. It may be called from any goroutine.
 func (p *Program) Post(f func()) { p.loop.Post(f) }
 
+// takeOverWatch makes the program watch the event stream in place of a core that has failed. It may be called from any goroutine.
+func (p *Program) takeOverWatch() {
+	p.Post(func() {
+		slog.Warn("watch.taken_over", "core", p.coreIndex(), "after", p.watch.appliedRevision)
+		p.watch.connect()
+	})
+}
+
 // Reload applies a reloaded configuration. Only the address of the event stream can change while the process runs. Other
 // differences are logged and take effect at the next start.
 func (p *Program) Reload(c config.Config) {
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -40,7 +40,7 @@
 	} else if p.idleSince == 0 {
 		p.idleSince = now
 	}
-	if !p.clientsDone(now) || !p.announceLeaving(now) {
+	if !p.clientsDone(now) || !p.announceLeaving(now) || !p.mayStop() {
 		p.loop.Set(&p.shutdownTimer, now+shutdownInterval)
 		return
 	}
@@ -48,6 +48,11 @@
 	p.loop.Stop()
 }
 
+// mayStop reports whether no other core depends on this one any more. If so, the program must stop.
+func (p *Program) mayStop() bool {
+	return p.core == nil || p.core.group.watchOwner.mayStop(p.core.index)
+}
+
 // clientsDone reports whether all requests have been answered, and the clients have disconnected, or lastAnswerTimeout has passed
 // and no client is still receiving answers. It does not wait longer than clients wait for their answers.
 func (p *Program) clientsDone(now time.Duration) bool {
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -65,6 +65,9 @@
 
 func (w *watchClient) address() netip.AddrPort { return w.addresses[w.addressIndex] }
 
+// isWatching reports whether the client is connected or about to reconnect. On several cores only one of them watches.
+func (w *watchClient) isWatching() bool { return w.conn != nil || w.failing }
+
 func (w *watchClient) connect() {
 	w.timer.Stop()
 	conn, err := w.loop.Dial(w.address(), w.timing().DialTimeout, w)
@@ -83,11 +86,16 @@
 }
 
 // switchAddress replaces the configured address of the event stream and resumes there after the last applied event. The old
-// address delivers no more events, although it may keep its connection open for a while.
+// address delivers no more events, although it may keep its connection open for a while. A client that does not watch only takes the
+// address.
 func (w *watchClient) switchAddress(address netip.AddrPort) {
 	if address == w.addresses[0] {
 		return
 	}
+	if !w.isWatching() {
+		w.addresses[0] = address
+		return
+	}
 	slog.Info("watch.moved", "from", w.address().String(), "to", address.String(), "after", w.appliedRevision)
 	w.addresses[0] = address
 	w.addressIndex = 0
