Do not take a core that has ended for a stalled one

Cause: the check of heartbeats had no notion of a core that has ended. Now only running cores are checked. The check of the health in TestPurgeReachesCoresDuringShutdown failed before and passes.

--- a/internal/director/group.go
+++ b/internal/director/group.go
@@ -169,6 +169,9 @@
 		case <-ticker.C:
 		}
 		for i, c := range g.cores {
+			if !g.watchOwner.isRunning(i) {
+				c.heartbeats.Add(1) // a core that has ended is not stalled
+			}
 			heartbeats[i] = c.heartbeats.Load()
 		}
 		stalled, recovered := detector.Check(heartbeats, time.Since(start))
--- a/internal/director/group_shutdown_test.go
+++ b/internal/director/group_shutdown_test.go
@@ -89,6 +89,9 @@
 	g, cache, client, upstream := newHeldRequest(t)
 	g.group.Shutdown()
 	time.Sleep(drainAcceptTime + 2*lastAnswerTimeout) // every core without requests has nothing left to do
+	if !g.group.healthy.Load() {                      // longer than stallTimeout after the cores without requests have ended
+		t.Error("a core that has ended counts as stalled")
+	}
 	g.purgeAndLoseCache(cache, client, upstream)
 }
 
--- a/internal/director/watch_owner.go
+++ b/internal/director/watch_owner.go
@@ -25,6 +25,13 @@
 	return o.owner
 }
 
+// isRunning reports whether a core has not ended.
+func (o *watchOwner) isRunning(core int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running[core]
+}
+
 // mayStop reports whether a core that has nothing left to do may stop. A core that may is recorded as ended.
 func (o *watchOwner) mayStop(core int) bool {
 	o.mu.Lock()
