Free the events that all cores have applied

On several cores every event of the bulletin stayed in memory until the process ended: the core that publishes had a cursor that it never moves, and the list is freed behind the slowest cursor only. It has none now. TestPublishedEventsAreFreed failed before (the event was still in memory after 10 s of collections) and passes.

--- a/internal/director/group.go
+++ b/internal/director/group.go
@@ -77,7 +77,10 @@
 	c.Settings.Directors = orDefault("settings.Balancers", c.Settings.Directors, defaultDirectors)
 	share := divideLimits(c, cores)
 	for i := range cores {
-		g.cores = append(g.cores, &core{group: g, index: i, cursor: g.events.NewCursor()})
+		g.cores = append(g.cores, &core{group: g, index: i})
+		if i != g.watchOwner.current() { // the one that publishes reads nothing, and its cursor would keep all events alive
+			g.cores[i].cursor = g.events.NewCursor()
+		}
 	}
 	g.events.Seal()
 	for _, owner := range g.cores {
--- a/internal/director/group_shutdown_test.go
+++ b/internal/director/group_shutdown_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 	"time"
+
+	"stairvane.org/stairvane/internal/protocol/discovery"
 )
 
 // submitOnOtherCore submits a request over a connection that is served by another core than the first, and returns the client and
@@ -95,6 +98,27 @@
 	g.purgeAndLoseCache(cache, client, upstream)
 }
 
+// Guards against events that stay in memory for ever because a core that never reads them keeps its place before them.
+func TestPublishedEventsAreFreed(t *testing.T) {
+	g := newTestGroup(t, 4, 1)
+	freed := make(chan struct{})
+	g.group.cores[0].prog.Post(func() {
+		event := &discovery.EndpointList{Sequence: 1}
+		runtime.AddCleanup(event, func(struct{}) { close(freed) }, struct{}{})
+		g.group.cores[0].publish(discovery.WatchResponse{Events: []discovery.Event{{Revision: 1, Endpoints: event}}})
+		g.group.cores[0].publish(discovery.WatchResponse{Events: []discovery.Event{{Revision: 1}}})
+	})
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		runtime.GC()
+		select {
+		case <-freed:
+			return
+		default:
+		}
+	}
+	t.Error("an event that all cores have applied is still in memory")
+}
+
 // Guards against a core that fails taking the watch of the event stream with it, while the others answer what they have.
 func TestPurgeReachesCoresAfterThePanicOfOne(t *testing.T) {
 	g, cache, client, upstream := newHeldRequest(t)
