Run a director with a settings file in the director's own program

What operators saw: a director on several cores that is killed at the smallest memory limit. Cause, one of three: director FILE ran inside stairvane-fleet, since that reads the file. Evidence: 29 MB resident before any client on four cores, of which smaps gives 25 MB to file pages of stairvane-fleet; the director's program on one core has 6.4 MB, so it is not the cores.

TestDirectorWithSettingsFileRunsItsOwnProgram failed before (29,236 KB, in stairvane-fleet) and passes (6,832 KB).

--- a/cmd/stairvane-fleet/director.go
+++ b/cmd/stairvane-fleet/director.go
@@ -3,13 +3,16 @@
 import (
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"runtime/debug"
+	"slices"
+	"syscall"
 
 	"github.com/gaissmai/bart"
 
-	"stairvane.org/stairvane/internal/director"
 	"stairvane.org/stairvane/internal/director/config"
 	"stairvane.org/stairvane/internal/operatorconfig"
 )
@@ -19,17 +22,38 @@
 	Config string `arg:"" type:"path" help:"The program's file, as deploy/stairvane.scm; (director ...) is read."`
 }
 
-// Run serves like stairvane without arguments, with the settings of the file in addition to LB_CONFIG.
+// Run reads the file and then replaces the process with the director's program, which stands beside this one and is much smaller. It
+// returns only if that fails.
 func (c directorCmd) Run() error {
 	settings, faults := operatorconfig.ReadProgram(c.Config, os.ReadFile)
 	if len(faults) > 0 {
 		return faults
 	}
-	d := settings.Director
+	operator, err := operatorSettings(settings.Director)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Config, err)
+	}
+	handedOver, err := operator.Environment()
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find the path of this executable: %w", err)
+	}
+	program := filepath.Join(filepath.Dir(self), "stairvane")
+	err = syscall.Exec(program, []string{"stairvane", "director"}, append(os.Environ(), handedOver))
+	return fmt.Errorf("execute %s, which runs the director: %w", program, err)
+}
+
+var errCoresOfMember = errors.New("director.machine: a director that registers as a member has one core")
+
+// operatorSettings returns what the director's program needs of the settings in the file.
+func operatorSettings(d operatorconfig.Director) (config.OperatorSettings, error) {
 	operator := config.OperatorSettings{Cores: d.Cores, ControlPlanes: d.ControlPlanes}
 	if d.Machine != "" {
 		if d.Cores > 1 {
-			return errors.New(c.Config + ": director.machine: a director that registers as a member has one core")
+			return operator, errCoresOfMember
 		}
 		operator.Membership = &config.Membership{
 			Machine:      d.Machine,
@@ -43,21 +67,21 @@
 	if d.Claims.Listen.IsValid() {
 		operator.Claims = &config.Claims{
 			Listen:            d.Claims.Listen,
-			Allows:            allowFunc(d.Claims.Peers),
+			Peers:             networks(d.Claims.Peers),
 			MaxClaims:         d.Claims.MaxClaims,
 			UnreachablePolicy: d.Claims.UnreachablePolicy,
 			PolicyByClass:     d.Claims.PolicyByClass,
 		}
 	}
-	return director.Serve(operator)
+	return operator, nil
 }
 
-// allowFunc returns a function that reports whether an address may connect. If peers is nil, only loopback may.
-func allowFunc(peers *bart.Lite) func(netip.Addr) bool {
-	if peers == nil {
-		return netip.Addr.IsLoopback
+// networks returns the networks of a table, or nil if there is no table.
+func networks(table *bart.Lite) []netip.Prefix {
+	if table == nil {
+		return nil
 	}
-	return peers.Contains
+	return slices.AppendSeq([]netip.Prefix{}, table.All())
 }
 
 // shortRevisionLength is the number of digits to which a revision is shortened.
--- a/cmd/stairvane/director.go
+++ b/cmd/stairvane/director.go
@@ -5,5 +5,11 @@
 	"stairvane.org/stairvane/internal/director/config"
 )
 
-// runDirector runs a director on one core, configured by LB_CONFIG.
-func runDirector() error { return director.Serve(config.OperatorSettings{Cores: 1}) }
+// runDirector runs a director that is configured by LB_CONFIG, and by the operator's settings if stairvane-fleet hands some over.
+func runDirector() error {
+	operator, err := config.TakeOperatorSettings()
+	if err != nil {
+		return err
+	}
+	return director.Serve(operator)
+}
--- a/cmd/stairvane/process_linux_test.go
+++ b/cmd/stairvane/process_linux_test.go
@@ -40,7 +40,7 @@
 		if built.dir, built.err = os.MkdirTemp("", "stairvane-test"); built.err != nil {
 			return
 		}
-		build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", built.dir+"/", ".")
+		build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", built.dir+"/", ".", "../stairvane-fleet")
 		build.Env = append(os.Environ(), "CGO_ENABLED=1")
 		if out, err := build.CombinedOutput(); err != nil {
 			built.err = fmt.Errorf("build: %w\n%s", err, out)
@@ -64,7 +64,7 @@
 }
 
 // startDirector starts a director with a configuration and a limit of descriptors; 0: the limit of this process.
-func startDirector(t *testing.T, config map[string]any, descriptors int) *directorProcess {
+func startDirector(t *testing.T, config map[string]any, descriptors int, arguments ...string) *directorProcess {
 	t.Helper()
 	text, err := json.Marshal(config)
 	if err != nil {
@@ -75,9 +75,10 @@
 		t.Fatal(err)
 	}
 	p := &directorProcess{t: t, serving: make(chan string, 1), exited: make(chan error, 1)}
-	p.cmd = exec.Command(directorBinary(t))
+	command := append([]string{directorBinary(t)}, arguments...)
+	p.cmd = exec.Command(command[0], command[1:]...)
 	if descriptors > 0 {
-		p.cmd = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec %s", descriptors, directorBinary(t)))
+		p.cmd = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec %s", descriptors, strings.Join(command, " ")))
 	}
 	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 	out, err := p.cmd.StderrPipe()
@@ -96,7 +97,10 @@
 			p.log.WriteString(lines.Text() + "\n")
 			p.mu.Unlock()
 			if m := serving.FindStringSubmatch(lines.Text()); m != nil {
-				p.serving <- m[1]
+				select {
+				case p.serving <- m[1]:
+				default: // the line of another core
+				}
 			}
 		}
 	}()
@@ -108,6 +112,19 @@
 	return p
 }
 
+// startDirectorOnCores starts a director as startDirector does, but on a number of cores.
+func startDirectorOnCores(t *testing.T, config map[string]any, descriptors, cores int) *directorProcess {
+	t.Helper()
+	if cores == 1 {
+		return startDirector(t, config, descriptors)
+	}
+	path := filepath.Join(t.TempDir(), "director.scm")
+	if err := os.WriteFile(path, fmt.Appendf(nil, "(director (cores %d) (divide connection))\n", cores), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return startDirector(t, config, descriptors, "director", path)
+}
+
 func (p *directorProcess) logged() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -175,6 +192,11 @@
 	if _, err := io.WriteString(conn, str(text)); err != nil {
 		return 0, err
 	}
+	return readResult(conn)
+}
+
+// readResult reads the answer to a request and returns the result: 0: served, 1: rejected, 2: failed.
+func readResult(conn net.Conn) (int, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 	head := make([]byte, 4)
 	if _, err := io.ReadFull(conn, head); err != nil {
