Drop what is unread of a client that has left

What callers saw: a client that wrote requests and closed or reset its connection had all of them sent to caches afterwards (16 of 16 after FIN and after RST). Cause: the end was noticed only once all input had been read, and what was read in earlier rounds, or in the same one, was forwarded at the end of the round. After a reset the kernel still hands out what it had received.

epoll reports the end together with the input before it, so connections of clients look at it first and drop what is unread. The input is read and thrown away, because closing a socket with unread input resets the connection and takes answers from a client that closed only its side.

--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -44,6 +44,10 @@
 
 // Closed implements transport.Handler.
 func (c *clientConn) Closed(err error) {
+	var dropped *transport.InputDroppedError
+	if errors.As(err, &dropped) {
+		c.frontend.Counters.LeftUnread++
+	}
 	if len(c.inFlight) > 0 && !errors.Is(err, io.EOF) && !errors.Is(err, transport.ErrLingerTimeout) {
 		slog.Info("client.disconnected", "open", len(c.inFlight), "err", err)
 	}
--- a/internal/director/counters_test.go
+++ b/internal/director/counters_test.go
@@ -16,7 +16,7 @@
 		{
 			FrontendCounters{},
 			`{"Connections":0,"Turned":0,"Evicted":0,"Mute":0,"Malformed":0,"Unserved":0,"Heartbeats":0,` +
-				`"Stuck":0,"Shed":0,"Crossed":0,"Dropped":0,"Unfinished":0}`,
+				`"Stuck":0,"Shed":0,"Crossed":0,"Dropped":0,"LeftUnread":0,"Unfinished":0}`,
 		},
 		{
 			routing.Counters{},
--- a/internal/director/frontend.go
+++ b/internal/director/frontend.go
@@ -39,6 +39,7 @@
 	Shed        int64 `json:"Shed"`       // calls rejected because the client leaves its answers unread
 	AfterClose  int64 `json:"Crossed"`    // input received after the connection was closed
 	Dropped     int64 `json:"Dropped"`    // answers replaced by a failure because unread ones used up their memory
+	LeftUnread  int64 `json:"LeftUnread"` // clients that left before all of their input was read; the rest was dropped
 	Unfinished  int64 `json:"Unfinished"` // connections closed because a message was not complete in time
 }
 
--- a/internal/transport/bounded_input.go
+++ b/internal/transport/bounded_input.go
@@ -1,6 +1,9 @@
 package transport
 
 import (
+	"errors"
+	"fmt"
+	"io"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -9,14 +12,19 @@
 // A connection with bounded input is for peers that are not trusted. In each round it reads at most heldInputBytes, or one
 // message that is larger. An incomplete message may always keep heldInputBytes in memory; what exceeds that is bounded for all
 // connections of a loop together, see Loop.SetInputLimit. A connection that finds no room is paused: the rest stays in the
-// kernel until there is room, or until the kernel has all of it, when no room is needed.
+// kernel until there is room, or until the kernel has all of it, when no room is needed. Once the peer has closed its end, or
+// reset the connection, input that is still unread is dropped.
 
 const (
 	heldInputBytes = 4 << 10
 	// availableReads bounds the reads of Conn.ReadAvailable, to more than a client's open requests take.
 	availableReads = 32
+	// discardReads bounds the reads that drop the input of a peer that has closed its end.
+	discardReads = 8
 	// pausedInterval is the interval at which paused connections are tried again.
 	pausedInterval = 20 * time.Millisecond
+	// closedEvents are the epoll events that report that the peer has closed its end or reset the connection.
+	closedEvents = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
 )
 
 // inputBudget bounds the memory of incomplete messages, and has the connections that wait for some of it. The zero value has no room.
@@ -30,6 +38,18 @@
 // SetInputLimit bounds the bytes in memory of incomplete messages on connections with bounded input, beyond heldInputBytes for each.
 func (l *Loop) SetInputLimit(bytes int) { l.input.limit = bytes }
 
+// InputDroppedError is the error that Handler.Closed gets if the peer closed the connection before all of its input was read. It wraps the
+// reason, which is io.EOF if the peer did not reset the connection.
+type InputDroppedError struct{ Reason error }
+
+// Error implements error.
+func (e *InputDroppedError) Error() string {
+	return "input was unread when the connection ended: " + e.Reason.Error()
+}
+
+// Unwrap returns the reason.
+func (e *InputDroppedError) Unwrap() error { return e.Reason }
+
 // BoundInput bounds the input of the connections that the listener accepts from now on.
 func (ln *Listener) BoundInput() { ln.boundInput = true }
 
@@ -41,8 +61,18 @@
 	case c.paused:
 		return unix.EPOLLRDHUP
 	default:
-		return unix.EPOLLIN
+		return unix.EPOLLIN | unix.EPOLLRDHUP
+	}
+}
+
+// readAvailableBounded reads the input that is available, unless the peer has closed the connection.
+func (c *Conn) readAvailableBounded() {
+	state := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	if n, err := unix.Poll(state, 0); err == nil && n > 0 {
+		c.peerClosed()
+		return
 	}
+	c.readBounded(availableReads)
 }
 
 // readBounded reads up to a number of times from a connection with bounded input.
@@ -161,6 +191,31 @@
 	}
 }
 
+// peerClosed closes the connection, whose peer has closed its end or reset it. Unread input is dropped: what the peer has given up must not
+// be done. It is read all the same, since the kernel would otherwise reset the connection and drop output that the peer may still read.
+func (c *Conn) peerClosed() {
+	reason := io.EOF
+	if code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil && code != 0 {
+		reason = fmt.Errorf("read: %w", unix.Errno(code))
+	}
+	if c.discardInput() {
+		reason = &InputDroppedError{reason}
+	}
+	c.fail(reason)
+}
+
+// discardInput reads and drops unread input, and reports whether there was any.
+func (c *Conn) discardInput() (found bool) {
+	for range discardReads {
+		n, err := unix.Read(c.fd, c.loop.readBuffer)
+		if err != nil && !errors.Is(err, unix.EINTR) || n == 0 {
+			return found
+		}
+		found = found || n > 0
+	}
+	return found
+}
+
 // IncompleteFor returns the time for which a message has been incomplete, or 0 if none is.
 func (c *Conn) IncompleteFor() time.Duration {
 	if len(c.input) == 0 {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
 	"time"
 
@@ -262,11 +261,11 @@
 	}
 	switch {
 	case c.closed:
-	case c.paused && events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0:
-		c.fail(io.EOF) // its message stays incomplete
-	case c.boundInput && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0:
+	case c.boundInput && events&closedEvents != 0:
+		c.peerClosed()
+	case c.boundInput && events&unix.EPOLLIN != 0:
 		c.readBounded(1)
-	case events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0:
+	case !c.boundInput && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0:
 		c.read()
 	}
 }
--- a/internal/transport/conn_io.go
+++ b/internal/transport/conn_io.go
@@ -110,7 +110,7 @@
 	switch {
 	case c.closed || c.dialing:
 	case c.boundInput:
-		c.readBounded(availableReads)
+		c.readAvailableBounded()
 	default:
 		c.read()
 	}
