Keep the ID of a cancelled request where its runs are known

What callers saw: the ID of a request whose client had left was sent to a cache again while its first run might live: 13 times on four cores with 12 new connections, of an unsafe class too; twice on one core after 6,000 other cancels.

Cause: the record of a cancelled request (where its runs may live, whether it may have run) stays on its core for the longest deadline, but the shared table of IDs let other cores have the ID when the request ended; and the table of records has room for 4,096 and drops the oldest, so that whoever cancels most decides what is forgotten.

An ID now stays with its core as long as the record does, and fails elsewhere. IDs of records that found no room are kept in a filter of constant size for at least the longest deadline and fail.

--- a/internal/director/routing/director.go
+++ b/internal/director/routing/director.go
@@ -43,6 +43,7 @@
 
 	cancelledByID        map[decision.RequestID]*cancelledRequest
 	cancelledOldestFirst []*cancelledRequest
+	cancelledEarlier     idFilter // IDs of cancelled requests for which there was no room any more
 }
 
 // maintenanceInterval is the interval at which idle connections are closed and old purges are dropped.
@@ -61,6 +62,8 @@
 		requests:      map[decision.RequestID]*clientRequest{},
 		cancelledByID: map[decision.RequestID]*cancelledRequest{},
 		purges:        newPurgeLog(),
+
+		cancelledEarlier: newIDFilter(limits.MaxDeadline),
 	}
 	d.isReadyCache = func(e Endpoint) bool {
 		parent := s.ParentKind >= 0 && s.ParentKind < len(s.Kinds) && e.Kind == s.Kinds[s.ParentKind]
--- a/internal/director/routing/requests.go
+++ b/internal/director/routing/requests.go
@@ -68,7 +68,7 @@
 		r.Responder.Reject(r, staleRetryAfter)
 		return
 	}
-	if d.hooks.AcquireID != nil && !d.hooks.AcquireID(r.ID) { // another core may have attempts of this ID in flight
+	if !d.acquireID(r.ID) {
 		d.Counters.Failed++
 		r.Responder.Fail(r)
 		return
@@ -81,7 +81,6 @@
 	if !d.inheritCancelled(q) {
 		d.Counters.Failed++
 		r.Responder.Fail(r)
-		d.releaseID(q)
 		return
 	}
 	d.requests[q.key] = q
@@ -171,16 +170,12 @@
 	}
 	delete(d.requests, q.key)
 	d.storeCancelled(q)
-	d.releaseID(q)
+	if d.cancelledByID[q.key] == nil {
+		d.releaseID(q.ID)
+	}
 	if next := d.removeResubmission(q); next != nil {
 		d.accept(next.Request, next.deadline)
 	}
 }
 
-func (d *Director) releaseID(q *clientRequest) {
-	if d.hooks.ReleaseID != nil {
-		d.hooks.ReleaseID(q.ID)
-	}
-}
-
 func (d *Director) isStale() bool { return d.hooks.IsStale != nil && d.hooks.IsStale() }
--- a/internal/director/routing/resubmissions.go
+++ b/internal/director/routing/resubmissions.go
@@ -17,7 +17,8 @@
 const (
 	// maxResubmissions is the maximum number of resubmissions of an ID. Each needs connections that were not used for the ID.
 	maxResubmissions = 2
-	// maxCancelledRequests is the maximum number of cancelled requests that are kept for resubmissions.
+	// maxCancelledRequests is the maximum number of cancelled requests that are kept for resubmissions. The IDs of those for which there
+	// is no room are kept, so that they do not run again.
 	maxCancelledRequests = 4096
 )
 
@@ -94,22 +95,29 @@
 		expiresAt:          d.loop.Now() + d.limits.MaxDeadline,
 	}
 	if len(d.cancelledOldestFirst) >= maxCancelledRequests {
+		d.cancelledEarlier.add(string(d.cancelledOldestFirst[0].id), d.loop.Now())
 		d.evictOldestCancelled(d.cancelledOldestFirst[:1])
 	}
 	d.cancelledByID[q.key] = c
 	d.cancelledOldestFirst = append(d.cancelledOldestFirst, c)
 }
 
-// evictOldestCancelled removes the given cancelled requests, which must be the oldest ones.
+// evictOldestCancelled removes the given cancelled requests, which must be the oldest ones. Other cores may use their IDs from then on.
 func (d *Director) evictOldestCancelled(oldest []*cancelledRequest) {
 	for _, c := range oldest {
 		if d.cancelledByID[c.id] == c {
 			delete(d.cancelledByID, c.id)
+			if d.requests[c.id] == nil {
+				d.releaseID(string(c.id))
+			}
 		}
 	}
 	d.cancelledOldestFirst = slices.Delete(d.cancelledOldestFirst, 0, len(oldest))
 }
 
+// KeptIDs returns the number of IDs that are reserved because of a cancelled request.
+func (d *Director) KeptIDs() int { return len(d.cancelledByID) }
+
 // expireCancelled removes the cancelled requests that have expired: no client waits for their resubmission any more.
 func (d *Director) expireCancelled(now time.Duration) {
 	n := 0
@@ -119,6 +127,26 @@
 	d.evictOldestCancelled(d.cancelledOldestFirst[:n])
 }
 
+// acquireID reserves a request's ID on this core. It reports false if another core may have attempts of the ID in flight, or if the ID is
+// that of a cancelled request of which nothing else is known any more. An ID stays reserved as long as a cancelled request is kept for it.
+func (d *Director) acquireID(id string) bool {
+	if d.cancelledByID[decision.RequestID(id)] != nil {
+		return true
+	}
+	if d.cancelledEarlier.contains(id, d.loop.Now()) {
+		d.Counters.Resubmitted++
+		return false
+	}
+	return d.hooks.AcquireID == nil || d.hooks.AcquireID(id)
+}
+
+// releaseID makes an ID available to other cores.
+func (d *Director) releaseID(id string) {
+	if d.hooks.ReleaseID != nil {
+		d.hooks.ReleaseID(id)
+	}
+}
+
 // inheritCancelled copies the state of a cancelled request with the same ID, if any, to its resubmission q. It reports
 // whether q may be sent at all.
 func (d *Director) inheritCancelled(q *clientRequest) bool {
