Let a host that appears at an address replace the one that was there

Cause: hosts are known by name, and two hosts in service at one address were logged and both sent to, though only one process can listen there. Ruled out by its own case: with the old cache listed as terminated nothing is sent.

The host that arrives replaces the other, which counts as gone at once, without the grace of drains; attempts that wait for a connection to it have not run and are decided on anew after the module knows. It comes back with another address or a later start, or when the other has gone.

--- a/internal/director/returning_id_test.go
+++ b/internal/director/returning_id_test.go
@@ -15,7 +15,10 @@
 	`"MultiPart":[true]`, `"MultiPart":[true,false]`).Replace(testSettings),
 	`"Group":"all"}]`, `"Group":"all"},{"Name":"orders","Aim":600,"AimStretch":2,"Deadline":6000,"Worth":2,"Effect":"unsafe"}]`, 1)
 
-// countRequests counts the requests with an ID that arrive on a cache's connections, until the test ends.
+// countAll counts the requests that arrive on a cache's connections, until the test ends.
+func countAll(cache *scriptedCache) *atomic.Int64 { return countRequests(cache, "") }
+
+// countRequests counts the requests with an ID, or all if it is empty, that arrive on a cache's connections, until the test ends.
 func countRequests(cache *scriptedCache, id string) (count *atomic.Int64) {
 	count = &atomic.Int64{}
 	go func() {
@@ -29,7 +32,7 @@
 			go p.serve()
 			go func() {
 				for cmd := range p.commands {
-					if cmd[0] == "do" && cmd[1] == id {
+					if cmd[0] == "do" && (id == "" || cmd[1] == id) {
 						count.Add(1)
 					}
 				}
--- a/internal/director/routing/director.go
+++ b/internal/director/routing/director.go
@@ -181,7 +181,8 @@
 	for id, h := range d.hosts {
 		h.closeIdleConns(now)
 		unused := len(h.conns) == 0 && len(h.waiting) == 0
-		if h.Readiness == decision.Gone && unused && now > h.readinessSince+d.limits.MaxDeadline {
+		forgettable := h.Readiness == decision.Gone && !h.isReplaced() // a replaced host that is listed again is no new one
+		if forgettable && unused && now > h.readinessSince+d.limits.MaxDeadline {
 			delete(d.hosts, id)
 			delete(d.byName, h.Name)
 		}
--- a/internal/director/routing/endpoints.go
+++ b/internal/director/routing/endpoints.go
@@ -19,7 +19,8 @@
 	readinessSince       time.Duration // when its current readiness reached the process
 	conns                []*pooledConn
 	waiting              []*attempt
-	sendWaitingScheduled bool // the host is in Director.hostsToSendWaiting
+	sendWaitingScheduled bool  // the host is in Director.hostsToSendWaiting
+	replacedBy           *host // the host whose process has taken the address; nil: none
 }
 
 // incarnationName returns the host's name followed by "@" and its start time in Unix milliseconds, which identifies the
@@ -39,9 +40,10 @@
 }
 
 // isDraining reports whether no new attempts may be sent to the host: it is not ready, and half of the grace period has
-// passed. The second half is reserved for the time that an attempt takes to reach the host.
+// passed. The second half is reserved for the time that an attempt takes to reach the host. There is no grace if another process has
+// the host's address.
 func (h *host) isDraining(now, grace time.Duration) bool {
-	return h.Readiness != decision.Ready && now >= h.readinessSince+grace/2
+	return h.isReplaced() || h.Readiness != decision.Ready && now >= h.readinessSince+grace/2
 }
 
 // UpdateEndpoints applies an endpoint list: a snapshot, or a delta with the entries that changed.
@@ -61,10 +63,22 @@
 		update.Kind = decision.UpdateSnapshot
 		d.removeUnlisted(accepted, now)
 	}
+	var arrivals []*host
 	for _, e := range accepted {
+		arrives := e.Readiness == decision.Ready && isArrival(d.byName[e.Name], e)
 		update.Endpoints = append(update.Endpoints, d.applyEndpoint(e, now))
+		if arrives {
+			arrivals = append(arrivals, d.byName[e.Name])
+		}
+	}
+	replaced := d.replaceOthers(arrivals, now)
+	for _, h := range replaced {
+		update.Endpoints = append(update.Endpoints, h.Endpoint.Endpoint)
 	}
 	d.handle(update)
+	for _, h := range replaced {
+		h.abandon()
+	}
 }
 
 // readyAddresses returns the addresses of the ready hosts by name.
@@ -101,6 +115,7 @@
 		d.hosts[e.Host] = h
 	}
 	e.Host = h.Host
+	e = h.keepReplaced(e)
 	addressChanged := h.Address != e.Address
 	if addressChanged || h.StartedAt != e.StartedAt {
 		h.retireConns(e.StartedAt, addressChanged)
