Number a director's claim messages from a random start

What callers saw: nothing was reported; found while listing what is keyed by an address. Late answers about claims to a director that has gone reach the one that was started at its address, and counted as its own if their number matched: a request was sent although its key had not been granted. Cause: a connection for claims does not say for whom it is, answers are matched by number alone, and each process counted from 1.

The form of the messages is unchanged.

--- a/internal/claims/node.go
+++ b/internal/claims/node.go
@@ -12,6 +12,9 @@
 	MaxWindow   time.Duration // upper bound of the window of any claim
 	MaxClaims   int           // limit of claims stored by this node, as primary and as replica
 	ResendAfter time.Duration // time after which an unacknowledged message is sent again
+	// FirstSeq is the number after which messages are numbered. It must be random for each process: answers to an earlier process at the
+	// same address then have numbers that this one does not use.
+	FirstSeq uint64
 }
 
 // lifetime returns how long a claim is kept. A director that receives HeldElsewhere may be the first to send the request, at the
@@ -82,6 +85,7 @@
 	return &Node{
 		settings:    settings,
 		id:          id,
+		seq:         settings.FirstSeq,
 		members:     map[string]bool{},
 		shards:      make([]shard, settings.Shards),
 		requests:    map[uint64]*pendingRequest{},
--- a/internal/director/claims_service.go
+++ b/internal/director/claims_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -21,6 +22,7 @@
 	// claimsUnreachableTimeout is how long to wait for an outcome if the policy of the class is not ClaimsWait.
 	claimsUnreachableTimeout = 300 * time.Millisecond
 	claimsShards             = 256
+	maxFirstClaimsSeq        = 1 << 61 // half of what fits into a message
 )
 
 // claimsService runs a claims.Node: it provides the node's clock and its connections to other directors. It implements
@@ -62,6 +64,7 @@
 		MaxWindow:   longestDedupWindow(c.Settings),
 		MaxClaims:   c.Claims.MaxClaims,
 		ResendAfter: claimsRetryInterval,
+		FirstSeq:    rand.Uint64N(maxFirstClaimsSeq),
 	})
 	s.tickTimer.Fire = s.tick
 	p.loop.Set(&s.tickTimer, p.loop.Now()+claimsTickInterval)
