Count what the kernel holds when room is left for clients that read at once

What callers saw: beside 34 clients that read nothing, a client that reads at once had 119 to 124 of 151 answers replaced by failures. Cause: the room that is left for clients with nothing unread was given by what the director holds for a client. One that reads nothing had nothing unread by that until the kernel's buffer was full, and its next answer went into that room. Evidence: Dropped, not Shed or Refused, made up the failures, and they end when the silent clients are closed.

--- a/cmd/stairvane/partial_requests_linux_test.go
+++ b/cmd/stairvane/partial_requests_linux_test.go
@@ -112,7 +112,7 @@
 }
 
 // Guards against exceeding the memory limit by messages that clients have written in part, on one core and on several, and against saving
-// that memory at the expense of clients that write slowly.
+// that memory at the expense of clients that write slowly, or that read at once beside others that read nothing.
 func TestPartialRequestsStayWithinMemoryLimit(t *testing.T) {
 	const memoryMB, clients, silentClients, slowWriters = 32, 340, 34, 8
 	large := largeRequest("00000000000000aa")
@@ -156,13 +156,13 @@
 						slow <- outcome{result, err}
 					}()
 				}
-				if tally, err := fakes.Load(p.addr, 50, 3*time.Second); err != nil || tally.Lost > 0 || tally.Duplicated > 0 {
+				tally, err := fakes.Load(p.addr, 50, 3*time.Second)
+				if err != nil || tally.Served < tally.Sent*9/10 || tally.Lost > 0 || tally.Duplicated > 0 {
 					t.Errorf("a client that writes and reads at once: %+v, %v", tally, err)
-				} else {
-					t.Logf("%+v", tally)
 				}
+				t.Logf("%+v", tally)
 				for range slowWriters {
-					if o := <-slow; o.err != nil || o.result != 0 && shape.silent == 0 {
+					if o := <-slow; o.err != nil || o.result != 0 {
 						t.Errorf("a client that writes slowly: %+v", o)
 					}
 				}
--- a/internal/director/unread.go
+++ b/internal/director/unread.go
@@ -20,7 +20,7 @@
 type unreadLimits struct {
 	queued  int // with answers to clients that have more unread than an equal share of this limit
 	shared  int // with answers to clients that have less
-	answers int // with answers to clients that have nothing unread, which may read as fast as they are answered
+	answers int // with answers to clients that have nothing unread, see clientConn.ownUnread; they may read as fast as they are answered
 	all     int // with replies that carry no object
 }
 
@@ -92,13 +92,26 @@
 	if f.loop.Queued()+size <= limits.queued { // this counts the output to caches as well
 		return true
 	}
-	if limits.fits(size, c.conn.Queued(), f.unreadUsage()) {
+	if limits.fits(size, c.ownUnread(), f.unreadUsage()) {
 		return true
 	}
 	f.memoryShort = true
 	return false
 }
 
+// ownUnread returns the unread output of a client by which its next answer is admitted. What only the kernel still holds counts if it is
+// more than may be in transit: otherwise clients that read nothing would use the room that is left for those that read at once, each with
+// the first answer that the kernel does not accept.
+func (c *clientConn) ownUnread() int {
+	if queued := c.conn.Queued(); queued > 0 {
+		return queued
+	}
+	if undelivered := c.conn.Undelivered(); undelivered > inTransitBytes {
+		return undelivered
+	}
+	return 0
+}
+
 // closeStalled closes clients that do not read, those with the most unread output first, if memory is short. Once half of the
 // limit is free, memory is no longer short.
 func (f *frontend) closeStalled(now time.Duration) {
