Build the director's program beside stairvane-fleet for the tests of replicas

The tests of replicas that start directors failed since director FILE runs in the director's own program: their harness built only stairvane-fleet.

--- a/internal/controlplane/replicas/harness_test.go
+++ b/internal/controlplane/replicas/harness_test.go
@@ -30,11 +30,13 @@
 		panic(err)
 	}
 	fleetBinary = filepath.Join(folder, "stairvane-fleet")
-	build := []string{"build", "-o", fleetBinary}
+	build := []string{"build", "-o", folder + "/"}
 	if os.Getenv("STAIRVANE_RACE") != "" { // a process that reports a race exits with status 66
 		build = append(build, "-race")
 	}
-	if out, err := exec.Command("go", append(build, "stairvane.org/stairvane/cmd/stairvane-fleet")...).CombinedOutput(); err != nil {
+	// A director with a settings file is started by stairvane-fleet and runs in stairvane.
+	programs := []string{"stairvane.org/stairvane/cmd/stairvane", "stairvane.org/stairvane/cmd/stairvane-fleet"}
+	if out, err := exec.Command("go", append(build, programs...)...).CombinedOutput(); err != nil {
 		fmt.Printf("%v\n%s", err, out)
 		os.Exit(1)
 	}
