Name the event log in answers to watches, and start over in another one

What callers saw: nothing was reported; forced with the real programs. Cause: a director asks for the events after a number, and nothing says in which event log it counts; the server waited for later numbers.

Answers name the log by the number of the group, or by what tells the file of a standalone store from any other; directors and relays that meet another name drop the answer and ask for everything. A watcher that is ahead gets its first answer at once. Lower numbers alone as the sign were weighed and dropped: a longer new log goes unnoticed, and a replica that is behind is mistaken for one.

--- a/internal/controlplane/relay_requests.go
+++ b/internal/controlplane/relay_requests.go
@@ -143,6 +143,7 @@
 		Sequence:         request.Sequence,
 		NeedFull:         registered.NeedFull,
 		Registration:     registered.Registration,
+		History:          s.server.history(),
 		AggregatedHealth: s.health.addRelayReports(request, now),
 	}
 	if answer.Grant, err = s.quotas.renewRelay(request, now); err != nil {
--- a/internal/controlplane/relayserver/server.go
+++ b/internal/controlplane/relayserver/server.go
@@ -36,6 +36,7 @@
 	session         *relaysession.Session
 	upstream        *upstream
 	events          *eventLog
+	history         string // of the leader's event log; empty: unknown
 	lease           replica.LeaseHolder
 	hadLease        bool // result of the last checkLease
 	leaseCheckTimer transport.Timer
@@ -163,6 +164,13 @@
 // next request should be sent immediately. An answer that does not name its request, or grants a lease without the events that the
 // relay lacks, does not renew the lease.
 func (s *Server) applyAnswer(a relaysession.Answer, requestedAt time.Duration) (immediate bool) {
+	if known := s.history; a.History != "" && a.History != known {
+		s.history = a.History
+		if known != "" {
+			s.resetEventLog(errNewHistory)
+			return true
+		}
+	}
 	if err := s.applyEvents(a); err != nil {
 		s.resetEventLog(err)
 		return false
@@ -183,6 +191,8 @@
 	return a.LeaseMS == 0 || a.NeedFull || s.session.Pending()
 }
 
+var errNewHistory = errors.New("the control plane has another event log than before")
+
 // applyEvents applies and publishes the snapshot or the events of an answer.
 func (s *Server) applyEvents(a relaysession.Answer) error {
 	if a.Snapshot != nil {
--- a/internal/controlplane/relayserver/watchowner.go
+++ b/internal/controlplane/relayserver/watchowner.go
@@ -16,6 +16,9 @@
 // MayServe implements watch.Owner.
 func (o watchOwner) MayServe() bool { return o.relay.hasLease() }
 
+// History implements watch.Owner.
+func (o watchOwner) History() string { return o.relay.history }
+
 // RecordAnnouncement implements watch.Owner.
 func (o watchOwner) RecordAnnouncement(a discovery.Announcement, acknowledged int64) bool {
 	r := o.relay
--- a/internal/controlplane/relaysession/messages.go
+++ b/internal/controlplane/relaysession/messages.go
@@ -57,7 +57,8 @@
 	// LeaseMS is the duration of the lease in milliseconds, starting before the request. It is 0 while the relay lacks more events
 	// than fit into one answer: the relay then applies these events and sends the next request immediately.
 	LeaseMS          int64                    `json:"lease_ms"`
-	Revision         int64                    `json:"revision"` // revision of the leader's last event
+	Revision         int64                    `json:"revision"`          // revision of the leader's last event
+	History          string                   `json:"history,omitempty"` // names the leader's event log, see discovery.WatchResponse
 	Grant            *quota.Grant             `json:"grant,omitempty"`
 	AggregatedHealth *health.AggregatedHealth `json:"opinions,omitempty"`
 	Events           []fleet.Event            `json:"events,omitempty"`
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -48,6 +48,7 @@
 	clock         func() int64                                 // milliseconds since the Unix epoch
 	started       atomic.Bool                                  // whether the loop has been started
 	stopping      atomic.Bool
+	fileHistory   string     // see history
 	failures      chan error // errors that ended the write side
 }
 
@@ -76,6 +77,7 @@
 	if err = s.openStore(options); err != nil {
 		return err
 	}
+	s.fileHistory = s.store.FileName()
 	s.directors = newDirectorServices(s)
 	s.relayLeases = newRelayLeases(s)
 	first, tail := s.store.Tail()
--- a/internal/controlplane/store/replica.go
+++ b/internal/controlplane/store/replica.go
@@ -142,6 +142,16 @@
 	return *s.identity.Load(), s.isCloned.Load()
 }
 
+// FileName returns a name that the store's file shares with no copy of it and no file that was there before. It is empty if the system
+// does not tell.
+func (s *Store) FileName() string {
+	inode, bornNS, err := fileIdentity(s.path)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("file-%x-%x", inode, bornNS)
+}
+
 // FileMissing reports whether the file at the store's path was removed or replaced. Writes are then
 // lost when the process ends.
 func (s *Store) FileMissing() bool {
--- a/internal/controlplane/watch/answer.go
+++ b/internal/controlplane/watch/answer.go
@@ -40,6 +40,7 @@
 	}
 	parts, size = w.buildBody(parts, size)
 	w.waiting = false
+	w.answered = true
 	s.headBuffer = discovery.AppendResponseHead(s.headBuffer[:0], http.StatusOK, size, w.request.Close)
 	w.conn.Write(append([][]byte{s.headBuffer}, parts...)...)
 	switch {
@@ -75,13 +76,24 @@
 	return append(open, last[:len(last)-1], personal), size + len(personal) - 1
 }
 
-// personalFields returns the JSON fields for this director only, followed by the closing brace of the object: its quota grant and
-// the health of caches. It returns nil if there are no such fields.
+// personalFields returns the JSON fields that are not part of the log's answer, followed by the closing brace of the object: the log's
+// history, and for this director only its quota grant and the health of caches. It returns nil if there are no such fields.
 func (w *watcher) personalFields() (fields []byte, hasHealth bool) {
-	announcement := w.request.Announcement
-	if announcement == nil {
+	if history := w.server.owner.History(); history != "" {
+		fields = appendField(fields, "history", history)
+	}
+	if w.request.Announcement != nil {
+		fields, hasHealth = w.appendAnnouncedFields(fields)
+	}
+	if fields == nil {
 		return nil, false
 	}
+	return append(fields, '}'), hasHealth
+}
+
+// appendAnnouncedFields appends the fields for a director that announces itself.
+func (w *watcher) appendAnnouncedFields(fields []byte) (appended []byte, hasHealth bool) {
+	announcement := w.request.Announcement
 	owner := w.server.owner
 	if grant := owner.PopQuotaGrant(announcement.ID()); grant != nil {
 		fields = appendField(fields, "turns", grant)
@@ -92,10 +104,7 @@
 			hasHealth = true
 		}
 	}
-	if fields == nil {
-		return nil, false
-	}
-	return append(fields, '}'), hasHealth
+	return fields, hasHealth
 }
 
 // appendField appends a field to a JSON object that already has fields. A value that cannot be encoded is omitted.
--- a/internal/controlplane/watch/owner.go
+++ b/internal/controlplane/watch/owner.go
@@ -11,6 +11,8 @@
 type Owner interface {
 	// MayServe reports whether the process may currently serve watchers.
 	MayServe() bool
+	// History names the event log, see discovery.WatchResponse. It is empty if that is unknown.
+	History() string
 	// RecordAnnouncement records a director's announcement and the revision that its request acknowledges. It returns false if the
 	// process has no capacity for the director, whose request is then rejected.
 	RecordAnnouncement(announcement discovery.Announcement, acknowledged int64) bool
--- a/internal/controlplane/watch/watch_test.go
+++ b/internal/controlplane/watch/watch_test.go
@@ -54,6 +54,7 @@
 func (p *testOwner) PopQuotaGrant(string) *quota.Grant      { return nil }
 func (p *testOwner) Health(string) *health.AggregatedHealth { return nil }
 func (p *testOwner) AcknowledgedChanged()                   {}
+func (p *testOwner) History() string                        { return "" }
 func (p *testOwner) ClockMS() int64                         { return time.Now().UnixMilli() }
 func (p *testOwner) Failed(err error)                       { p.t.Error(err) }
 
--- a/internal/controlplane/watch/watcher.go
+++ b/internal/controlplane/watch/watcher.go
@@ -20,6 +20,7 @@
 	id           int64
 	request      discovery.WatchRequest // the last request
 	waiting      bool                   // the request has not been answered yet
+	answered     bool                   // a request on this connection has been answered
 	unregistered bool                   // the connection has been removed from the server's watchers, or was never admitted
 	// rejection is the status with which the first request is rejected; 0: the client is admitted.
 	rejection    int
@@ -78,7 +79,8 @@
 		w.close()
 		return
 	}
-	if w.request.After > s.log.Last() {
+	isAhead := w.request.After > s.log.Last()
+	if isAhead {
 		slog.Warn("watcher.ahead", "addr", w.peer.String(), "after", w.request.After, "last", s.log.Last())
 	}
 	s.mu.Lock()
@@ -97,8 +99,11 @@
 	w.waiting = true
 	w.waitDeadline = s.loop.Now() + time.Duration(w.request.TimeoutMS)*time.Millisecond
 	s.loop.Set(&w.timer, w.waitDeadline)
-	if isBehind {
+	switch {
+	case isBehind:
 		w.answerWhenDue()
+	case isAhead && !w.answered: // it may have the events of another history, of which only an answer tells it
+		w.answer()
 	}
 }
 
--- a/internal/controlplane/watchowner.go
+++ b/internal/controlplane/watchowner.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 
 	"stairvane.org/stairvane/internal/controlplane/eventlog"
 	"stairvane.org/stairvane/internal/controlplane/watch"
@@ -36,6 +37,22 @@
 // MayServe implements watch.Owner.
 func (o watchOwner) MayServe() bool { return o.server.hasLease() }
 
+// History implements watch.Owner.
+func (o watchOwner) History() string { return o.server.history() }
+
+// history names the event log: by the group of replicas that keeps it, or else by the file. A log that was begun anew, or that replicas
+// go on with after a recovery, has another name.
+func (s *Server) history() string {
+	identity, _ := s.store.Identity()
+	switch {
+	case identity.Group != 0:
+		return "group-" + strconv.FormatUint(identity.Group, 16)
+	case identity.Disk != 0: // it waits to be admitted
+		return ""
+	}
+	return s.fileHistory
+}
+
 // RecordAnnouncement implements watch.Owner. It always admits the director, because maxWatchers already limits the number of watchers.
 func (o watchOwner) RecordAnnouncement(announcement discovery.Announcement, acknowledged int64) bool {
 	o.server.directors.recordAnnouncement(announcement, acknowledged)
--- a/internal/director/core.go
+++ b/internal/director/core.go
@@ -28,6 +28,7 @@
 type publishedEvents struct {
 	discovery.WatchResponse
 	receivedAt time.Duration
+	restarted  bool // the first events of another event log than before
 }
 
 // setHooks sets the hooks that are implemented by state shared among the cores.
@@ -56,8 +57,8 @@
 
 // publish publishes events to the other cores and wakes them up. It does not wait for them: a core that was stalled applies
 // the events before it writes its next attempt.
-func (c *core) publish(response discovery.WatchResponse) {
-	c.group.events.Publish(publishedEvents{response, c.prog.loop.Now()})
+func (c *core) publish(response discovery.WatchResponse, restarted bool) {
+	c.group.events.Publish(publishedEvents{response, c.prog.loop.Now(), restarted})
 	for _, other := range c.group.cores {
 		if other != c && other.prog != nil {
 			other.prog.loop.Wake()
@@ -71,6 +72,9 @@
 		return
 	}
 	for e, ok := c.cursor.Next(); ok; e, ok = c.cursor.Next() {
+		if e.restarted {
+			p.watch.appliedRevision = 0
+		}
 		p.director.SetNotifiedAt(e.receivedAt)
 		p.watch.apply(e.WatchResponse)
 		p.director.SetNotifiedAt(0)
--- a/internal/director/group_shutdown_test.go
+++ b/internal/director/group_shutdown_test.go
@@ -105,8 +105,8 @@
 	g.group.cores[0].prog.Post(func() {
 		event := &discovery.EndpointList{Sequence: 1}
 		runtime.AddCleanup(event, func(struct{}) { close(freed) }, struct{}{})
-		g.group.cores[0].publish(discovery.WatchResponse{Events: []discovery.Event{{Revision: 1, Endpoints: event}}})
-		g.group.cores[0].publish(discovery.WatchResponse{Events: []discovery.Event{{Revision: 1}}})
+		g.group.cores[0].publish(discovery.WatchResponse{Events: []discovery.Event{{Revision: 1, Endpoints: event}}}, false)
+		g.group.cores[0].publish(discovery.WatchResponse{Events: []discovery.Event{{Revision: 1}}}, false)
 	})
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		runtime.GC()
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -25,15 +25,18 @@
 	failing         bool
 	request         []byte // reused by each poll
 	rng             *rand.Rand
-	directors       int   // number of watchers of the event stream, including this one
-	appliedRevision int64 // revision of the last applied event
+	directors       int    // number of watchers of the event stream, including this one
+	appliedRevision int64  // revision of the last applied event
+	history         string // of the event log in which appliedRevision counts; empty: unknown
+	restarted       bool   // the event log was changed, and the other cores have not been told
 	malformedEvents int
 
-	publish           func(discovery.WatchResponse) // publishes a response to the other cores; nil: there are none
-	membership        *membershipClient             // nil: the director does not announce itself
-	requestedAt       time.Duration                 // when the open poll was sent, on the boot clock
-	leaveSent         bool                          // the open poll announces that the director leaves
-	leaveAcknowledged bool                          // a poll that announced that the director leaves was answered
+	// publish publishes a response to the other cores, and whether it is the first one of another event log. nil: there are none.
+	publish           func(response discovery.WatchResponse, restarted bool)
+	membership        *membershipClient // nil: the director does not announce itself
+	requestedAt       time.Duration     // when the open poll was sent, on the boot clock
+	leaveSent         bool              // the open poll announces that the director leaves
+	leaveAcknowledged bool              // a poll that announced that the director leaves was answered
 }
 
 func newWatchClient(loop *transport.Loop, d *routing.Director, addresses []netip.AddrPort, directors int, seed uint64) *watchClient {
@@ -195,6 +198,9 @@
 // handlePollResponse processes the response to the open poll.
 func (w *watchClient) handlePollResponse(response discovery.WatchResponse) {
 	w.retryDelay = w.timing().RetryMin
+	if w.restartsIn(response.History) {
+		return
+	}
 	if w.membership != nil {
 		w.membership.handleResponse(response, w.requestedAt)
 		w.leaveAcknowledged = w.leaveAcknowledged || w.leaveSent
@@ -208,7 +214,28 @@
 		slog.Error("watch.event_malformed", "err", err)
 	}
 	if w.publish != nil && len(response.Events) > 0 {
-		w.publish(response) // published first, so that the other cores do not wait for this one
+		w.publish(response, w.restarted) // published first, so that the other cores do not wait for this one
+		w.restarted = false
 	}
 	w.apply(response)
 }
+
+// restartsIn reports whether a response belongs to another event log than the responses before it: a control plane has begun anew at the
+// address, or goes on without its last events. The next poll then asks for all events of that log.
+func (w *watchClient) restartsIn(history string) bool {
+	known := w.history
+	if history == "" || history == known {
+		return false
+	}
+	w.history = history
+	if known == "" {
+		return false
+	}
+	slog.Warn("watch.history_changed", "addr", w.address().String(), "after", w.appliedRevision, "from", known, "to", history)
+	w.appliedRevision = 0
+	w.restarted = true
+	if w.membership != nil {
+		w.membership.appliedRevision = 0
+	}
+	return true
+}
--- a/internal/protocol/discovery/messages.go
+++ b/internal/protocol/discovery/messages.go
@@ -44,6 +44,7 @@
 	Events           []Event         `json:"items"`             // nil: the response does not have the field
 	QuotaGrant       json.RawMessage `json:"turns,omitempty"`   // for this client only; see package quota
 	AggregatedHealth json.RawMessage `json:"signals,omitempty"` // for clients that send health reports; see package health
+	History          string          `json:"history,omitempty"` // names the event log: revisions of two histories do not compare
 	Malformed        []error         `json:"-"`                 // one error per malformed event, which is not in Events
 }
 
