Build the director's program beside stairvane-fleet for the scale test

Like the tests of replicas, TestRun failed since director FILE runs in the director's own program: it built only stairvane-fleet. It passes again.

--- a/internal/tools/scale/run_test.go
+++ b/internal/tools/scale/run_test.go
@@ -19,7 +19,10 @@
 		panic(err)
 	}
 	program = filepath.Join(folder, "stairvane-fleet")
-	if out, err := exec.Command("go", "build", "-o", program, "stairvane.org/stairvane/cmd/stairvane-fleet").CombinedOutput(); err != nil {
+	// A director with a settings file is started by stairvane-fleet and runs in stairvane.
+	const commands = "stairvane.org/stairvane/cmd/"
+	build := exec.Command("go", "build", "-o", folder+"/", commands+"stairvane", commands+"stairvane-fleet")
+	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Printf("%v\n%s", err, out)
 		os.Exit(1)
 	}
