Limit the number of clients for all cores together

Cause: each core limited its clients to its share of the descriptors, and the kernel distributes connections unevenly.

The cores share one count.

--- a/cmd/stairvane/partial_requests_linux_test.go
+++ b/cmd/stairvane/partial_requests_linux_test.go
@@ -158,7 +158,8 @@
 				t.Logf("%+v", tally)
 				for range slowWriters {
 					if o := <-slow; o.err != nil || o.result != 0 {
-						t.Errorf("a client that writes slowly: %+v", o)
+						t.Errorf("a client that writes slowly: result %d, %v; connections were rejected %d times", o.result, o.err,
+							strings.Count(p.logged(), `"client.rejected"`))
 					}
 				}
 				peak := p.peakMemoryKB()
--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -57,7 +57,7 @@
 // remove unregisters a client that can no longer be answered and cancels its requests.
 func (c *clientConn) remove() {
 	c.ended = true
-	delete(c.frontend.clients, c)
+	c.frontend.unregister(c)
 	c.frontend.lingering = slices.DeleteFunc(c.frontend.lingering, func(other *clientConn) bool { return other == c })
 	c.cancelRequests()
 }
--- a/internal/director/core.go
+++ b/internal/director/core.go
@@ -43,9 +43,13 @@
 	}
 }
 
-// startHeartbeats starts the timer that signals the stall check and publishes the served rate.
-func (c *core) startHeartbeats(p *Program) {
+// shareState connects the program to the state that its core shares with the others, and starts the timer that signals the stall check
+// and publishes the served rate.
+func (c *core) shareState(p *Program) {
 	p.frontend.isHealthy = c.group.healthy.Load
+	// The kernel distributes clients unevenly, so their number is limited for all cores together.
+	p.frontend.clientsOfAll = &c.group.clients
+	p.frontend.maxClients *= len(c.group.cores)
 	c.heartbeatTimer.Fire = func() {
 		c.heartbeats.Add(1)
 		current, peak := p.director.ServedRate()
--- a/internal/director/eviction.go
+++ b/internal/director/eviction.go
@@ -25,14 +25,38 @@
 	c.conn = conn
 	c.openedAt = f.loop.Now()
 	c.checkDelivery()
-	if len(f.clients) >= f.maxClients && !f.evict() {
+	if f.isFull() && !f.evict() {
 		f.Counters.Rejected++
-		slog.Warn("client.rejected", "connections", len(f.clients))
+		slog.Warn("client.rejected", "connections", f.clientCount())
 		conn.Close()
 		return
 	}
 	f.Counters.Connections++
 	f.clients[c] = struct{}{}
+	if f.clientsOfAll != nil {
+		f.clientsOfAll.Add(1)
+	}
+}
+
+// clientCount returns the number of connections that count towards maxClients.
+func (f *frontend) clientCount() int {
+	if f.clientsOfAll != nil {
+		return int(f.clientsOfAll.Load())
+	}
+	return len(f.clients)
+}
+
+func (f *frontend) isFull() bool { return f.clientCount() >= f.maxClients }
+
+// unregister forgets a connection, if it is registered.
+func (f *frontend) unregister(c *clientConn) {
+	if _, registered := f.clients[c]; !registered {
+		return
+	}
+	delete(f.clients, c)
+	if f.clientsOfAll != nil {
+		f.clientsOfAll.Add(-1)
+	}
 }
 
 // evict makes room for a new connection and reports whether it may be admitted. It closes the connection that has lingered
@@ -44,13 +68,13 @@
 		if len(f.lingering) >= maxLingering || f.loop.Now()-c.endedAt >= closeRaceWindow {
 			c.conn.Close()
 			c.remove()
-			if len(f.clients) < f.maxClients {
+			if !f.isFull() {
 				return true
 			}
 		}
 	}
-	for len(f.clients) >= f.maxClients {
-		if len(f.clients) >= f.maxClients+maxLingering { // to close another would make no room yet
+	for f.isFull() {
+		if f.clientCount() >= f.maxClients+maxLingering { // to close another would make no room yet
 			return false
 		}
 		c := f.longestIdle()
--- a/internal/director/frontend.go
+++ b/internal/director/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"stairvane.org/stairvane/internal/director/routing"
@@ -53,7 +54,8 @@
 	clients   map[*clientConn]struct{} // including lingering ones
 	lingering []*clientConn            // in the order of their closing
 
-	maxClients         int
+	clientsOfAll       *atomic.Int64 // clients of all cores of the process; nil: there is one core
+	maxClients         int           // of all cores
 	idleTimeout        time.Duration
 	stuckTimeout       time.Duration
 	firstAnswerTimeout time.Duration
--- a/internal/director/group.go
+++ b/internal/director/group.go
@@ -42,6 +42,7 @@
 	events          *events.Log[publishedEvents]
 	owners          *owners.Table
 	watchOwner      *watchOwner
+	clients         atomic.Int64 // connections of clients on all cores
 	slowStartBudget *budget.Ledger
 	healthy         atomic.Bool
 }
--- a/internal/director/program.go
+++ b/internal/director/program.go
@@ -60,7 +60,7 @@
 		p.watch.connect()
 	}
 	if owner != nil {
-		owner.startHeartbeats(p)
+		owner.shareState(p)
 	}
 	return p, nil
 }
