Wait longer for a client that takes nothing while memory is short

Cause: while memory was short, a client that had taken nothing for 2 s was closed; what it takes is what its kernel acknowledges, and a kernel whose buffer is full announces room in steps of up to 128 KB, 3 s apart at that rate.

It is 5 s now. Clients that read at once, for whose sake it was short, have room of their own since silent ones no longer use it. Dropping the shorter time was tried and rejected by TestClientsThatReadNothingMeetTheLimits.

--- a/internal/director/client_conn.go
+++ b/internal/director/client_conn.go
@@ -114,7 +114,7 @@
 
 const (
 	stuckUnread stuckReason = "unread" // the client took nothing for stuckTimeout
-	stuckMemory stuckReason = "memory" // memory was short and the client took nothing for stalledTimeout
+	stuckMemory stuckReason = "memory" // memory was short and the client took nothing for memoryStallTimeout
 	stuckFlood  stuckReason = "flood"  // the client left the rejections of too many calls unread
 )
 
--- a/internal/director/unread.go
+++ b/internal/director/unread.go
@@ -10,8 +10,11 @@
 	bodyMemoryDivisor   = 8
 	// inputMemoryDivisor is likewise for large messages of which only a part has arrived.
 	inputMemoryDivisor = 16
-	// stalledTimeout is the time for which a client must have read nothing before it may be closed because memory is short.
+	// stalledTimeout is the time for which a client must have read nothing before it no longer counts as one that reads.
 	stalledTimeout = 2 * time.Second
+	// memoryStallTimeout is the time for which a client must have read nothing before it may be closed because memory is short. The
+	// kernel of a client that reads slowly announces room in steps of up to 128 KB, and seems to take nothing in between.
+	memoryStallTimeout = 5 * time.Second
 )
 
 // unreadLimits bound the output that clients have not read yet, in bytes of all clients together. A client that reads slowly is
@@ -121,7 +124,7 @@
 			return
 		}
 		worst := f.worstClient(func(c *clientConn) int {
-			if c.delivery.stalledFor(now) < stalledTimeout {
+			if c.delivery.stalledFor(now) < memoryStallTimeout {
 				return 0
 			}
 			return c.conn.Queued()
