--- a/internal/controlplane/relayserver/server_test.go
+++ b/internal/controlplane/relayserver/server_test.go
@@ -343,6 +343,7 @@
 	if w := dialUntilServed(t, r); w.Revision != 7 {
 		t.Errorf("the first answer ends at event %d, want 7", w.Revision)
 	}
+	l.waitForRequest(t, "a request after all events", func(q relaysession.Request) bool { return q.Revision == 7 })
 	l.setAnswer(named("b", 9))
 	l.waitForRequest(t, "a request for the whole log", func(q relaysession.Request) bool { return q.Revision == 0 })
 	for end := time.Now().Add(timeout); ; time.Sleep(time.Millisecond) {
